--- a/src/types.rs
+++ b/src/types.rs
@@ -1,6 +1,6 @@
 //! The data that passes between a steward's surroundings and its decisions. No decision is taken here.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 use std::ops::{Add, Div, Sub};
 use std::sync::Arc;
 
@@ -41,6 +41,16 @@
         self.0 as f64 / 1e6
     }
 
+    /// What is left of something of this age that loses half its say in each `half`.
+    pub fn half_life(self, half: Span) -> f64 {
+        0.5f64.powf(self / half)
+    }
+
+    /// What new figures that stand for this span say in a mean over `over`.
+    pub fn say_in(self, over: Span) -> f64 {
+        1.0 - (-(self / over)).exp()
+    }
+
     pub fn times(self, factor: f64) -> Span {
         Span((self.0 as f64 * factor) as u64)
     }
@@ -83,7 +93,7 @@
 }
 id!(ProxyId(u16), TableId(u16), ZoneId(u16), MachineId(u16), CellId(u64), KindId(u8));
 
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct HostId(pub Arc<str>);
 
 /// What the surroundings hand over when a steward starts.
@@ -108,7 +118,6 @@
     pub cold: Span,
     pub gone_is_no_drain: bool,
     pub crossing_price: f64,
-    pub picks_less_busy: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -176,11 +185,6 @@
 /// One decision of a steward.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Ruling {
-    /// A host no proxy may send to, whatever table names it; or one that may be used again.
-    Bar {
-        host: HostId,
-        barred: bool,
-    },
     /// A host's part of a table; none: it leaves the table.
     Deal {
         table: TableId,
@@ -205,7 +209,7 @@
     WakeIn(Span),
 }
 
-// What a steward keeps: records without any behaviour.
+// What a steward keeps: records, and how to find things in them.
 
 /// What the job ticket comes to: only figures that decisions use.
 #[derive(Default)]
@@ -231,12 +235,12 @@
     pub(crate) cold: Span,
     pub(crate) gone_is_no_drain: bool,
     pub(crate) zones_cost: bool,
-    pub(crate) idle_first: bool,
 }
 
 /// A host's weight in one table: what it should be, and what was last sent.
 #[derive(Clone, Copy, Default)]
 pub(crate) struct Place {
+    pub(crate) table: usize,
     pub(crate) want: f64,
     pub(crate) sent: f64,
 }
@@ -244,13 +248,14 @@
 /// All that is known of one host.
 #[derive(Default)]
 pub(crate) struct Host {
+    pub(crate) id: HostId,
+    pub(crate) luck: u64,
     pub(crate) zone: ZoneId,
     pub(crate) machine: MachineId,
     pub(crate) weight: f64,
     pub(crate) started: Time,
     pub(crate) standing: Standing,
     pub(crate) drained: bool,
-    pub(crate) barred: bool,
     pub(crate) out_until: Option<Time>,
     pub(crate) trial_since: Option<Time>,
     pub(crate) tries: f64,
@@ -270,8 +275,119 @@
     pub(crate) usual: f64,
     pub(crate) fresh: bool,
     pub(crate) table: Option<usize>,
+}
+
+/// What is known of the users of one table.
+#[derive(Clone, Default)]
+pub(crate) struct Board {
+    pub(crate) bound: usize,
     pub(crate) messages: VecDeque<Time>,
+    pub(crate) differs_since: Option<Time>,
+    pub(crate) levels_sent: Vec<Option<f64>>,
+}
+
+/// Why a table's differences should be sent, the least pressing first.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Need {
+    Nothing,
+    Ordinary,
+    Jam,
+    Hazard,
+    Drain,
+}
+
+/// The hosts of a table by their places among all, each with the part of its weight that this table has of it.
+pub(crate) type Table = Vec<(usize, f64)>;
+
+/// Tables as they are dealt, and for each host the tables it stands in.
+pub(crate) struct Shards {
+    pub(crate) tables: Vec<Table>,
+    pub(crate) of: Vec<Vec<usize>>,
+}
+
+impl Makeready {
+    /// All that needs no tuned figure.
+    pub(crate) fn from_ticket(ticket: JobTicket) -> Makeready {
+        let kinds = ticket.kinds;
+        let mut least_benefit_first: Vec<usize> = (0..kinds.len()).collect();
+        least_benefit_first.sort_by(|&a, &b| kinds[a].benefit.total_cmp(&kinds[b].benefit));
+        let of_zone = |own: bool| -> Vec<KindId> {
+            (0..kinds.len()).filter(|&k| kinds[k].own_zone == own).map(|k| KindId(k as u8)).collect()
+        };
+        let confined = of_zone(true);
+        let cap = if ticket.message_cap == 0 { usize::MAX } else { ticket.message_cap as usize };
+        Makeready {
+            sliced: ticket.sliced,
+            least_benefit_first,
+            own_tables: if confined.is_empty() { 0 } else { ticket.zones as usize },
+            confined,
+            free: of_zone(false),
+            targets: kinds.iter().map(|k| k.response_target.secs()).collect(),
+            by_rate: ticket.admission == Admission::Rate,
+            most_waiting: ticket.most_waiting,
+            head: ticket.lines_per_message,
+            cap,
+            window: ticket.message_window,
+            probes: ticket.probes,
+            report_every: ticket.report_every,
+            start_capacity: ticket.start_capacity.clamp(0.01, 1.0),
+            cold: ticket.cold,
+            gone_is_no_drain: ticket.gone_is_no_drain,
+            zones_cost: ticket.crossing_price > 0.0,
+            ..Makeready::default()
+        }
+    }
+
+    pub(crate) fn all_tables(&self) -> usize {
+        self.shared_tables + self.own_tables
+    }
+
+    /// The table of a zone for the kinds confined to it.
+    pub(crate) fn own_table(&self, zone: ZoneId) -> usize {
+        self.shared_tables + zone.0 as usize
+    }
+
+    /// All tables of a proxy of this zone that is bound to this shared one.
+    pub(crate) fn tables_of(&self, shared: usize, zone: ZoneId) -> impl Iterator<Item = usize> + use<> {
+        let own = (self.own_tables > 0).then(|| self.own_table(zone)).filter(|&t| t < self.all_tables());
+        std::iter::once(shared).chain(own)
+    }
+}
+
+impl Host {
+    pub(crate) fn place(&mut self, table: usize) -> &mut Place {
+        let known = self.places.iter().position(|p| p.table == table).unwrap_or(self.places.len());
+        if known == self.places.len() {
+            self.places.push(Place { table, ..Place::default() });
+        }
+        &mut self.places[known]
+    }
+}
+
+impl Proxy {
+    pub(crate) fn rate(&self) -> f64 {
+        let seen: f64 = self.rates.iter().sum();
+        if seen > 0.0 { seen } else { self.usual }
+    }
 }
 
-/// The hosts of a table, each with the part of its weight that this table has of it.
-pub(crate) type Table = BTreeMap<HostId, f64>;
+impl Shards {
+    pub(crate) fn new(tables: usize, hosts: usize) -> Shards {
+        Shards { tables: vec![Vec::new(); tables], of: vec![Vec::new(); hosts] }
+    }
+
+    pub(crate) fn put(&mut self, table: usize, host: usize) {
+        self.tables[table].push((host, 1.0));
+        self.of[host].push(table);
+    }
+}
+
+pub(crate) fn mix(old: f64, new: f64, part: f64) -> f64 {
+    if old > 0.0 { old + (new - old) * part } else { new }
+}
+
+pub(crate) fn median(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let mut values: Vec<f64> = values.collect();
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied()
+}
