More tables than before only once they fit twice over

Also covers fleets that shrink and come back. Could hurt: a steward restarted after growth draws more, smaller tables.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -11,10 +11,12 @@
 // ---- Constants: unit, and why this size ---------------------------------------------------------------
 
 /// The design's bounds: proxies a table needs; hosts in it; hosts two share; tables a host stands in at most.
+/// Times that more tables than before must fit.
 const PROXIES_PER_TABLE: u64 = 5;
 const TABLE_LEAST: usize = 4;
 const OVERLAP_MOST: usize = 2;
 const TABLE_MOST: usize = 2;
+const RISE_ROOM: usize = 2;
 /// Tables among which a host's hash lets it choose: more is evener, fewer moves less.
 const CHOICES: usize = 4;
 /// Usage per weight, in parts of the mean: clearly the busiest table (connections are worth less); what one
@@ -451,9 +453,8 @@
         };
         for t in 0..count {
             let members = shards.tables[t].iter().filter(|(h, _)| strong(*h)).count();
-            let room = most.saturating_sub(shards.tables[t].len());
-            let due = (self.drawn[t].len() as f64 * strong_part).ceil() as usize;
-            for _ in 0..due.max(TABLE_LEAST).saturating_sub(members).min(room) {
+            let due = ((self.drawn[t].len() as f64 * strong_part).ceil() as usize).max(TABLE_LEAST);
+            for _ in 0..due.saturating_sub(members).min(most.saturating_sub(shards.tables[t].len())) {
                 let Some(h) = shards.stand_in(t, &listed, OVERLAP_MOST, strong, rank) else { break };
                 shards.put(t, h);
             }
@@ -515,10 +516,12 @@
         order.sort_by_key(|&h| (self.hosts[h].started, self.hosts[h].luck));
         let mut tables = self.ready.shared_tables;
         while tables > 1 {
-            if let Some(dealt) = self.deal(&order, tables) {
+            // More tables than before deal all anew, which costs connections: only once they fit twice over.
+            let rises = (1..tables).contains(&self.drawn.len());
+            let fits = !rises || TABLE_MOST * order.len() >= RISE_ROOM * TABLE_LEAST * tables;
+            if let Some(dealt) = self.deal(&order, tables).filter(|_| fits) {
                 return dealt;
             }
-            // By halves: a fleet that grows is seldom dealt all anew.
             tables /= 2;
         }
         vec![order.into_iter().map(|h| (h, 1.0)).collect()]
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -154,6 +154,30 @@
     }
 }
 
+/// A few hundred hosts and a thousand proxies: the rules hold through a loss, a release and a return, and a fleet
+/// that doubles leaves the old lines where they are.
+#[test]
+fn full_size_keeps_the_rules_and_its_lines() {
+    let mut shop =
+        Shop::open(JobTicket { channel_rate: 20_000.0, most_waiting: 40_000.0, ..ticket(1_000) }, 300);
+    (0..350).for_each(|n| shop.join(n, true, 1.0 + f64::from(n % 7)));
+    let sums = |shop: &mut Shop| {
+        (0..300).for_each(|n| shop.met(n, 4.0, 0.0, 200));
+        shop.check();
+    };
+    shop.run(5_000, sums);
+    let before = shop.lines.keys().cloned().collect::<BTreeSet<_>>();
+    let fresh = (300..600).map(|n| listing(n, Standing::Open, shop.time()));
+    shop.list(false, fresh.collect());
+    shop.run(3_000, sums);
+    let kept = before.iter().filter(|line| shop.lines.contains_key(line)).count();
+    assert!(kept * 10 >= before.len() * 9, "{kept} of {} lines are left", before.len());
+    shop.list(false, (0..75).map(|n| listing(n * 4, Standing::Draining, Time::default())).collect());
+    shop.run(4_000, sums);
+    shop.list(false, (0..75).map(|n| listing(n * 4, Standing::Open, shop.time())).collect());
+    shop.run(4_000, sums);
+}
+
 #[test]
 fn rejoining_proxy_finds_its_hashed_table_again() {
     let mut shop = Shop::open(ticket(21), 20);
