--- a/src/decide.rs
+++ b/src/decide.rs
@@ -11,11 +11,12 @@
 // ---- Constants: unit, and why this size ---------------------------------------------------------------
 
 /// The design's bounds: proxies a table needs; hosts in it; hosts two share; tables a host stands in at most.
-/// Times that more tables than before must fit.
+/// Places that a table must find, its stand-ins' too; times over that more tables than before must.
 const PROXIES_PER_TABLE: u64 = 5;
 const TABLE_LEAST: usize = 4;
 const OVERLAP_MOST: usize = 2;
 const TABLE_MOST: usize = 2;
+const TABLE_ROOM: usize = 6;
 const RISE_ROOM: usize = 2;
 /// Tables among which a host's hash lets it choose: more is evener, fewer moves less.
 const CHOICES: usize = 4;
@@ -516,9 +517,9 @@
         order.sort_by_key(|&h| (self.hosts[h].started, self.hosts[h].luck));
         let mut tables = self.ready.shared_tables;
         while tables > 1 {
-            // More tables than before deal all anew, which costs connections: only once they fit twice over.
+            // More tables than before deal all anew, which costs connections: only once they fit well.
             let rises = (1..tables).contains(&self.drawn.len());
-            let fits = !rises || TABLE_MOST * order.len() >= RISE_ROOM * TABLE_LEAST * tables;
+            let fits = !rises || TABLE_MOST * order.len() >= RISE_ROOM * TABLE_ROOM * tables;
             if let Some(dealt) = self.deal(&order, tables).filter(|_| fits) {
                 return dealt;
             }
@@ -530,7 +531,7 @@
     /// Each host goes to the emptiest of the few tables that its hash likes best, so that one host more or
     /// less moves few others; zone by zone where crossing zones has a price. Short tables take hosts twice.
     fn deal(&self, order: &[usize], tables: usize) -> Option<Vec<Table>> {
-        if TABLE_MOST * order.len() < TABLE_LEAST * tables {
+        if TABLE_MOST * order.len() < TABLE_ROOM * tables {
             return None;
         }
         let zone = |h: usize| if self.ready.zones_cost { self.hosts[h].zone.0 } else { 0 };
@@ -744,7 +745,6 @@
     }
 }
 
-/// Whether a line differs enough from what was sent.
 fn off(place: &Place) -> bool {
     (place.want > 0.0) != (place.sent > 0.0) || (place.want - place.sent).abs() > LINE_STEP * place.sent
 }
