--- a/src/decide.rs
+++ b/src/decide.rs
@@ -16,7 +16,7 @@
 const TABLE_LEAST: usize = 4;
 const OVERLAP_MOST: usize = 2;
 const TABLE_MOST: usize = 2;
-const TABLE_ROOM: usize = 6;
+const TABLE_ROOM: usize = 7;
 const RISE_ROOM: usize = 2;
 /// Tables among which a host's hash lets it choose: more is evener, fewer moves less.
 const CHOICES: usize = 4;
