Fewer tables only once those there fit no more

Tables now stay while their four hosts can be found. Also covers zones lost, mass restarts, batches of a deploy. Could hurt: a fleet that shrinks for good keeps small tables.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -11,7 +11,7 @@
 // ---- Constants: unit, and why this size ---------------------------------------------------------------
 
 /// The design's bounds: proxies a table needs; hosts in it; hosts two share; tables a host stands in at most.
-/// Places that a table must find, its stand-ins' too; times over that more tables than before must.
+/// Places that a table must find, its stand-ins too; times over that more tables than before must.
 const PROXIES_PER_TABLE: u64 = 5;
 const TABLE_LEAST: usize = 4;
 const OVERLAP_MOST: usize = 2;
@@ -517,10 +517,11 @@
         order.sort_by_key(|&h| (self.hosts[h].started, self.hosts[h].luck));
         let mut tables = self.ready.shared_tables;
         while tables > 1 {
-            // More tables than before deal all anew, which costs connections: only once they fit well.
-            let rises = (1..tables).contains(&self.drawn.len());
-            let fits = !rises || TABLE_MOST * order.len() >= RISE_ROOM * TABLE_ROOM * tables;
-            if let Some(dealt) = self.deal(&order, tables).filter(|_| fits) {
+            // Each change deals all anew and tears connections: more only with much room, fewer with none.
+            let kept = self.drawn.len();
+            let more = if (1..tables).contains(&kept) { RISE_ROOM } else { 1 };
+            let room = if kept == tables { TABLE_LEAST } else { more * TABLE_ROOM };
+            if let Some(dealt) = self.deal(&order, tables, room) {
                 return dealt;
             }
             tables /= 2;
@@ -530,8 +531,8 @@
 
     /// Each host goes to the emptiest of the few tables that its hash likes best, so that one host more or
     /// less moves few others; zone by zone where crossing zones has a price. Short tables take hosts twice.
-    fn deal(&self, order: &[usize], tables: usize) -> Option<Vec<Table>> {
-        if TABLE_MOST * order.len() < TABLE_ROOM * tables {
+    fn deal(&self, order: &[usize], tables: usize, room: usize) -> Option<Vec<Table>> {
+        if order.is_empty() || TABLE_MOST * order.len() < room * tables {
             return None;
         }
         let zone = |h: usize| if self.ready.zones_cost { self.hosts[h].zone.0 } else { 0 };
@@ -634,8 +635,7 @@
         for t in go {
             let board = &self.boards[t];
             let gathered = |least: Span| board.differs_since.is_some_and(|since| now - since >= least);
-            // The bind was a message too.
-            let (used, cap) = (board.messages.len() + 1, self.ready.cap);
+            let (used, cap) = (board.messages.len() + 1, self.ready.cap); // the bind was one too
             let under = |part: f64| (used as f64) < cap as f64 * part;
             let calm = self.waiting < self.ready.most_waiting * QUEUE_PART;
             let due = match need[t] {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -178,6 +178,20 @@
     shop.run(4_000, sums);
 }
 
+/// A list that calls most hosts gone for a while must not deal the rest anew, to tear all connections twice.
+#[test]
+fn shrunk_fleet_keeps_its_tables_while_they_fit() {
+    let mut shop = Shop::open(ticket(500), 400);
+    (0..200).for_each(|n| shop.join(n, true, 2.0));
+    let before = shop.lines.keys().cloned().collect::<BTreeSet<_>>();
+    shop.list(false, (0..180).map(|n| listing(n, Standing::Gone, Time::default())).collect());
+    shop.run(5_000, |_| {});
+    let gone: BTreeSet<HostId> = (0..180).map(host).collect();
+    let stay = before.iter().filter(|(_, host)| !gone.contains(host)).collect::<Vec<_>>();
+    let kept = stay.iter().filter(|line| shop.lines.contains_key(line)).count();
+    assert!(kept * 10 >= stay.len() * 6, "{kept} of {} lines are left", stay.len());
+}
+
 #[test]
 fn rejoining_proxy_finds_its_hashed_table_again() {
     let mut shop = Shop::open(ticket(21), 20);
