Read once more: one way to ask whether a table holds a host, dead checks gone, draw's doc true again

The predicate for a sent line stood twice; an empty order and a table against itself were ruled out already; unbound proxies were looked up twice on each piece of news. The docs said that only the list decides the draw: the number of tables also goes by how many there were.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -284,8 +284,6 @@
         if woken {
             // Stewards that start together do not look, probe and try again in step.
             self.out.push_back(Ruling::WakeIn(BEAT.times(0.9 + 0.2 * self.chance.f64())));
-        }
-        if woken {
             let passed = (self.now - self.last_beat).secs();
             self.last_beat = self.now;
             self.ease(passed);
@@ -447,10 +445,9 @@
         // fleet has that many for each table; who stands in already goes first.
         let most = (TABLE_MOST * listed.len() / count).max(TABLE_LEAST);
         let strong_part = listed.iter().filter(|&&h| strong(h)).count() as f64 / listed.len().max(1) as f64;
-        let holds = |h: usize, t: usize| hosts[h].places.iter().any(|p| p.table == t && p.sent > 0.0);
         let home = |t: usize| self.drawn[t].first().map(|&(h, _)| hosts[h].zone);
         let rank = |h: usize, t: usize, places: usize| {
-            (!holds(h, t), places, home(t) != Some(hosts[h].zone), luck(&hosts[h], t))
+            (!hosts[h].holds(t), places, home(t) != Some(hosts[h].zone), luck(&hosts[h], t))
         };
         for t in 0..count {
             let members = shards.tables[t].iter().filter(|(h, _)| strong(*h)).count();
@@ -475,7 +472,7 @@
             // A borrowed host stays until the table needs it no more: each change costs connections.
             let due = (shards.tables[t].len() as f64 * (pressure[t] - 1.0)).ceil() as usize;
             for _ in 0..due.min(most.saturating_sub(shards.tables[t].len())) {
-                let keeps = |h: usize| pressure[t] > HEAVY || holds(h, t);
+                let keeps = |h: usize| pressure[t] > HEAVY || hosts[h].holds(t);
                 let Some(h) = shards.stand_in(t, &lenders, OVERLAP_MOST, keeps, rank) else { break };
                 shards.put(t, h);
             }
@@ -509,16 +506,15 @@
         self.hosts.iter_mut().for_each(|h| h.places.retain(|p| p.want > 0.0 || p.sent > 0.0));
     }
 
-    /// The seeded draw: the same at every steward, since only list and table number go in. If no such shards
-    /// fit, proxies share fewer tables; under four hosts, one table holds all.
+    /// The seeded draw: the same at every steward that has as many tables, since only the list goes in. If no
+    /// such shards fit, proxies share fewer tables; under four hosts, one table holds all.
     fn draw(&self, listed: &[usize]) -> Vec<Table> {
         let mut order = listed.to_vec();
         // Whoever started last is dealt last, so that new hosts move nobody.
         order.sort_by_key(|&h| (self.hosts[h].started, self.hosts[h].luck));
-        let mut tables = self.ready.shared_tables;
+        let (mut tables, kept) = (self.ready.shared_tables, self.drawn.len());
         while tables > 1 {
             // Each change deals all anew and tears connections: more only with much room, fewer with none.
-            let kept = self.drawn.len();
             let more = if (1..tables).contains(&kept) { RISE_ROOM } else { 1 };
             let room = if kept == tables { TABLE_LEAST } else { more * TABLE_ROOM };
             if let Some(dealt) = self.deal(&order, tables, room) {
@@ -532,7 +528,7 @@
     /// Each host goes to the emptiest of the few tables that its hash likes best, so that one host more or
     /// less moves few others; zone by zone where crossing zones has a price. Short tables take hosts twice.
     fn deal(&self, order: &[usize], tables: usize, room: usize) -> Option<Vec<Table>> {
-        if order.is_empty() || TABLE_MOST * order.len() < room * tables {
+        if TABLE_MOST * order.len() < room * tables {
             return None;
         }
         let zone = |h: usize| if self.ready.zones_cost { self.hosts[h].zone.0 } else { 0 };
@@ -683,8 +679,8 @@
 
     /// A joined proxy is answered at once: its standing table may name hosts that are gone or cold.
     fn bind_joined(&mut self) {
-        let mut unbound: Vec<ProxyId> = self.proxies.keys().copied().collect();
-        unbound.retain(|id| self.proxies[id].table.is_none());
+        let unbound = self.proxies.iter().filter(|(_, proxy)| proxy.table.is_none());
+        let mut unbound: Vec<ProxyId> = unbound.map(|(&id, _)| id).collect();
         // The heaviest first, so that the light ones even out.
         unbound.sort_by(|a, b| self.proxies[b].rate().total_cmp(&self.proxies[a].rate()));
         for id in unbound {
@@ -703,12 +699,12 @@
                 let kinds = if self.ready.own_tables == 0 { Vec::new() } else { kinds.clone() };
                 self.out.push_back(Ruling::Bind { proxy: id, table: TableId(table as u16), kinds });
             }
-            let held = |h: &Host| h.places.iter().any(|p| p.table == table && p.sent > 0.0);
-            let lines = self.hosts.iter().filter(|h| held(h)).count() + self.levels.len() + 1;
+            let lines = self.hosts.iter().filter(|h| h.holds(table)).count() + self.levels.len() + 1;
             self.waiting += self.ready.head + lines as f64;
         }
     }
 }
+
 impl Makeready {
     /// Whether the list lets us send there. Where being dropped from the list binds nobody, a host that was
     /// merely dropped counts as open while it answers.
@@ -762,7 +758,7 @@
         let mut shared = vec![0; self.tables.len()];
         self.tables[t].iter().flat_map(|(h, _)| &self.of[*h]).for_each(|&u| shared[u] += 1);
         shared[t] = usize::MAX;
-        let fits = |&h: &usize| may(h) && self.of[h].iter().all(|&u| u != t && shared[u] < most);
+        let fits = |&h: &usize| may(h) && self.of[h].iter().all(|&u| shared[u] < most);
         of.iter().copied().filter(fits).min_by_key(|&h| rank(h, t, self.of[h].len()))
     }
 
--- a/src/types.rs
+++ b/src/types.rs
@@ -355,6 +355,11 @@
 }
 
 impl Host {
+    /// Whether it was last sent as a line of this table.
+    pub(crate) fn holds(&self, table: usize) -> bool {
+        self.places.iter().any(|p| p.table == table && p.sent > 0.0)
+    }
+
     pub(crate) fn place(&mut self, table: usize) -> &mut Place {
         let known = self.places.iter().position(|p| p.table == table).unwrap_or(self.places.len());
         if known == self.places.len() {
