--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,134 @@
+//! The program pondarch.
+//!
+//! Exit codes: 0 done; 1 a command was refused, or a rehearsal broke a rule; 2 bad settings, bad usage, or
+//! something could not be had.
+
+mod ctl;
+mod rehearse;
+
+use clap::{Parser, Subcommand, ValueEnum};
+use pondarch_settings::{Endpoint, read_hosts, read_site};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+#[derive(Parser)]
+#[command(name = "pondarch", version, about = "Tells plain proxies which hosts they may send to")]
+struct Args {
+    /// How logs are written, to standard error.
+    #[arg(long, value_enum, default_value_t = LogAs::Text, global = true)]
+    log: LogAs,
+    /// Least level of logs.
+    #[arg(long, value_enum, default_value_t = LogLevel::Info, global = true)]
+    log_level: LogLevel,
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum LogAs {
+    Text,
+    Json,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum LogLevel {
+    Error,
+    Warn,
+    Info,
+    Debug,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Runs a steward until SIGTERM or SIGINT.
+    Run {
+        settings: PathBuf,
+        /// Seed of this run's chance; absent: from the clock.
+        #[arg(long)]
+        seed: Option<u64>,
+        /// Writes each input to this file, a JSON line with its time.
+        #[arg(long)]
+        record: Option<PathBuf>,
+    },
+    /// Checks settings and the list they name; starts nothing.
+    Check { settings: PathBuf },
+    /// Sends runtime commands to a socket and prints the answers.
+    Ctl {
+        /// `unix:PATH` or `IP:PORT`.
+        socket: Endpoint,
+        /// The command; absent: commands are read from standard input, a line each.
+        command: Vec<String>,
+    },
+    /// Plays troubles on loopback and checks the rules.
+    Rehearse {
+        #[command(subcommand)]
+        scene: rehearse::Scene,
+    },
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse();
+    start_logs(args.log, args.log_level);
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(wrong) => return failed(&format!("cannot start: {wrong}")),
+    };
+    runtime.block_on(async {
+        match args.what {
+            What::Run { settings, seed, record } => run(settings, seed, record).await,
+            What::Check { settings } => check(settings),
+            What::Ctl { socket, command } => ctl::ctl(&socket, &command).await,
+            What::Rehearse { scene } => rehearse::rehearse(scene).await,
+        }
+    })
+}
+
+/// One plain message, and the exit code for it.
+fn failed(message: &str) -> ExitCode {
+    eprintln!("pondarch: {message}");
+    ExitCode::from(2)
+}
+
+async fn run(settings: PathBuf, seed: Option<u64>, record: Option<PathBuf>) -> ExitCode {
+    let site = match read_site(&settings) {
+        Ok(site) => site,
+        Err(wrong) => return failed(&wrong.to_string()),
+    };
+    match pondarch_daemon::run(site, pondarch_daemon::Options { seed, record }).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(wrong) => failed(&wrong.to_string()),
+    }
+}
+
+fn check(settings: PathBuf) -> ExitCode {
+    let site = match read_site(&settings) {
+        Ok(site) => site,
+        Err(wrong) => return failed(&wrong.to_string()),
+    };
+    match read_hosts(&site.hosts_file, &site.zones) {
+        Ok(list) => {
+            let (kinds, proxies, hosts) = (site.kinds.len(), site.proxies.len(), list.hosts.len());
+            println!(
+                "{}: {kinds} request kinds, {proxies} proxies, {hosts} hosts: in order",
+                settings.display()
+            );
+            ExitCode::SUCCESS
+        }
+        Err(wrong) => failed(&wrong.to_string()),
+    }
+}
+
+fn start_logs(log: LogAs, level: LogLevel) {
+    let level = match level {
+        LogLevel::Error => tracing_subscriber::filter::LevelFilter::ERROR,
+        LogLevel::Warn => tracing_subscriber::filter::LevelFilter::WARN,
+        LogLevel::Info => tracing_subscriber::filter::LevelFilter::INFO,
+        LogLevel::Debug => tracing_subscriber::filter::LevelFilter::DEBUG,
+    };
+    let logs =
+        tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr).with_target(false);
+    match log {
+        LogAs::Text => logs.with_ansi(std::io::IsTerminal::is_terminal(&std::io::stderr())).init(),
+        LogAs::Json => logs.json().init(),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/clock.rs
@@ -0,0 +1,28 @@
+//! Time that never goes back: the wall clock at the start, and from there on the machine's steady one.
+
+use pondarch::types::Time;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Clock {
+    at_start: u64,
+    start: Instant,
+}
+
+impl Clock {
+    pub(crate) fn start() -> Clock {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { at_start: since.as_micros() as u64, start: Instant::now() }
+    }
+
+    /// Microseconds since 1970.
+    pub(crate) fn now(&self) -> Time {
+        Time::from_micros(self.at_start + self.start.elapsed().as_micros() as u64)
+    }
+
+    /// The steady clock's word for a point in time.
+    pub(crate) fn instant(&self, at: Time) -> Instant {
+        let since_start = (at - Time::from_micros(self.at_start)).as_micros();
+        self.start + Duration::from_micros(since_start)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/daemon.rs
@@ -0,0 +1,175 @@
+//! The loop that feeds the core and carries out what it gives.
+
+use crate::clock::Clock;
+use crate::dial::Connection;
+use crate::listen::{Callers, serve};
+use crate::probe::Prober;
+use crate::socket::Listener;
+use crate::{hosts_file, log};
+use pondarch::types::Time;
+use pondarch_settings::site::ListenerLevel;
+use pondarch_settings::{Endpoint, Site};
+use pondarch_steward::{Core, Input, Output, wire};
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::{BufWriter, Write};
+use std::path::PathBuf;
+use thiserror::Error;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep_until};
+use tracing::{info, warn};
+
+/// Inputs that wait for the core. When they are this many, whoever brings the next one waits: proxies are read
+/// from and operators answered later, and nothing is lost.
+const INPUTS_MOST: usize = 4096;
+
+#[derive(Debug, Error)]
+pub enum DaemonError {
+    #[error("cannot listen at {at}: {wrong}")]
+    Listen { at: Endpoint, wrong: std::io::Error },
+    #[error("cannot write records to {file}: {wrong}")]
+    Record { file: PathBuf, wrong: std::io::Error },
+    #[error("cannot follow signals: {0}")]
+    Signals(std::io::Error),
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Options {
+    /// Seed of this run; absent: drawn from the clock.
+    pub seed: Option<u64>,
+    /// Where to write each input, a JSON line with its time.
+    pub record: Option<PathBuf>,
+}
+
+/// Runs a steward until SIGTERM or SIGINT.
+///
+/// Errors: a socket or file of its own cannot be had; nothing has been sent to any proxy then.
+pub async fn run(site: Site, options: Options) -> Result<(), DaemonError> {
+    let clock = Clock::start();
+    let now = clock.now();
+    let seed = options.seed.unwrap_or(wire::micros(now));
+    let mut record = options.record.map(Record::open).transpose()?;
+    let (inputs, mut queue) = mpsc::channel(INPUTS_MOST);
+    let callers = Callers::default();
+    let mut tasks = JoinSet::new();
+    for of in &site.runtime_api {
+        let listen = |wrong| DaemonError::Listen { at: of.listen.clone(), wrong };
+        let listener = Listener::bind(&of.listen).await.map_err(listen)?;
+        let level = match of.level {
+            ListenerLevel::User => 0,
+            ListenerLevel::Operator => 1,
+            ListenerLevel::Admin => 2,
+        };
+        tasks.spawn(serve(listener, level, callers.clone(), inputs.clone()));
+    }
+    tasks.spawn(hosts_file::follow(site.hosts_file.clone(), site.zones.clone(), inputs.clone()));
+    let mut term = signal(SignalKind::terminate()).map_err(DaemonError::Signals)?;
+    let mut int = signal(SignalKind::interrupt()).map_err(DaemonError::Signals)?;
+    info!(name = site.name, seed, proxies = site.proxies.len(), "steward started");
+    let prober = site.probes.clone().map(|probes| Prober::new(probes, inputs.clone()));
+    let mut edge = Edge { connections: BTreeMap::new(), prober, callers, inputs, site };
+    let mut core = Core::new(&edge.site, seed, std::process::id(), now);
+    let mut next = Some(Input::Tick);
+    loop {
+        let input = match next.take() {
+            Some(input) => input,
+            None => {
+                let wake = Instant::from_std(clock.instant(core.wake_at()));
+                tokio::select! {
+                    biased;
+                    _ = term.recv() => break,
+                    _ = int.recv() => break,
+                    Some(input) = queue.recv() => input,
+                    () = sleep_until(wake) => Input::Tick,
+                }
+            }
+        };
+        let now = clock.now();
+        if let Some(file) = &mut record
+            && !file.write(now, &input)
+        {
+            record = None;
+        }
+        core.handle(now, input);
+        while let Some(output) = core.next_output() {
+            edge.carry_out(output);
+        }
+        // What came meanwhile is taken before the clock, or a busy steward would hear nothing but ticks.
+        next = queue.try_recv().ok();
+    }
+    info!("steward stops; proxies keep their tables");
+    tasks.shutdown().await;
+    Ok(())
+}
+
+struct Edge {
+    connections: BTreeMap<u16, (u64, Connection)>,
+    prober: Option<Prober>,
+    callers: Callers,
+    inputs: mpsc::Sender<Input>,
+    site: Site,
+}
+
+impl Edge {
+    fn carry_out(&mut self, output: Output) {
+        match output {
+            Output::Dial { proxy, conn } => {
+                let (to, limit) =
+                    (self.site.proxies[proxy as usize].runtime.clone(), self.site.links.dial_limit.std());
+                let connection = Connection::dial(proxy, conn, to, limit, self.inputs.clone());
+                self.connections.insert(proxy, (conn, connection));
+            }
+            Output::Write { proxy, conn, lines } => {
+                let written = match self.connections.get(&proxy) {
+                    Some((held, connection)) if *held == conn => connection.write(lines),
+                    _ => true,
+                };
+                if !written {
+                    // It reads nothing: the core's answer limit hangs it up; what was not written is sent anew then.
+                    warn!(proxy = self.site.proxies[proxy as usize].name, "connection's queue is full");
+                }
+            }
+            Output::Hangup { proxy, conn } => {
+                if self.connections.get(&proxy).is_some_and(|(held, _)| *held == conn) {
+                    self.connections.remove(&proxy);
+                }
+            }
+            Output::Probe { host, addr, for_load } => {
+                if let Some(prober) = &self.prober {
+                    prober.ask(host, addr, for_load);
+                }
+            }
+            Output::Reply { caller, text } => self.callers.answer(caller, text),
+            Output::Event(event) => log::event(&event),
+        }
+    }
+}
+
+/// Inputs as JSON lines, each with its time in microseconds.
+struct Record {
+    file: PathBuf,
+    out: BufWriter<File>,
+}
+
+impl Record {
+    fn open(file: PathBuf) -> Result<Record, DaemonError> {
+        match File::create(&file) {
+            Ok(out) => Ok(Record { file, out: BufWriter::new(out) }),
+            Err(wrong) => Err(DaemonError::Record { file, wrong }),
+        }
+    }
+
+    /// Gives whether records go on: a full disk ends them, not the steward.
+    fn write(&mut self, now: Time, input: &Input) -> bool {
+        let line = serde_json::to_string(&(wire::micros(now), input)).unwrap_or_default();
+        match writeln!(self.out, "{line}") {
+            Ok(()) => true,
+            Err(wrong) => {
+                warn!(file = %self.file.display(), %wrong, "records end here");
+                false
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/probe.rs
@@ -0,0 +1,67 @@
+//! Asks a host over HTTP/1.1, for its health or its load.
+
+use http_body_util::Empty;
+use hyper::Request;
+use hyper::body::Bytes;
+use hyper_util::rt::TokioIo;
+use pondarch_load_report::{HEADER, Report};
+use pondarch_settings::site::Probes;
+use pondarch_steward::{Input, LoadTold};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::net::TcpStream;
+use tokio::sync::{Semaphore, mpsc};
+use tokio::time::timeout;
+
+/// Probes under way at one time; one more waits for the next turn and counts as unanswered now.
+const PROBES_MOST: usize = 256;
+
+#[derive(Clone)]
+pub(crate) struct Prober {
+    probes: Arc<Probes>,
+    places: Arc<Semaphore>,
+    inputs: mpsc::Sender<Input>,
+}
+
+impl Prober {
+    pub(crate) fn new(probes: Probes, inputs: mpsc::Sender<Input>) -> Prober {
+        Prober { probes: Arc::new(probes), places: Arc::new(Semaphore::new(PROBES_MOST)), inputs }
+    }
+
+    /// Starts a probe; its task ends within the time limit.
+    pub(crate) fn ask(&self, host: String, addr: SocketAddr, for_load: bool) {
+        let prober = self.clone();
+        tokio::spawn(async move {
+            let asked = match prober.places.try_acquire() {
+                Ok(_place) => timeout(prober.probes.time_limit.std(), get(addr, &prober.probes.path)).await,
+                Err(_) => Ok(None),
+            };
+            let report = asked.ok().flatten();
+            let load = report.map(|report| LoadTold {
+                busy: report.busy,
+                queue: report.queue,
+                service_ms: report.latency_ms,
+            });
+            prober.inputs.send(Input::Probed { host, for_load, good: report.is_some(), load }).await.ok();
+        });
+    }
+}
+
+/// A GET; none unless the answer is a good one.
+async fn get(addr: SocketAddr, path: &str) -> Option<Report> {
+    let stream = TcpStream::connect(addr).await.ok()?;
+    let (mut to_host, connection) =
+        hyper::client::conn::http1::handshake::<_, Empty<Bytes>>(TokioIo::new(stream)).await.ok()?;
+    let req = Request::get(path).header("host", addr.to_string()).header("connection", "close");
+    let req = req.body(Empty::new()).ok()?;
+    let asked = async {
+        let answer = to_host.send_request(req).await.ok()?;
+        let told = answer.headers().get(HEADER).and_then(|value| value.to_str().ok());
+        answer.status().is_success().then(|| told.map(Report::read).unwrap_or_default())
+    };
+    // The connection lives as long as the answer is awaited, no longer.
+    tokio::select! {
+        report = asked => report,
+        _ = connection => None,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/socket.rs
@@ -0,0 +1,108 @@
+//! A stream or a listener that is a Unix or a TCP one.
+
+use pondarch_settings::Endpoint;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpStream, UnixListener, UnixStream};
+
+#[derive(Debug)]
+pub enum Stream {
+    Unix(UnixStream),
+    Tcp(TcpStream),
+}
+
+impl Stream {
+    pub async fn connect(to: &Endpoint) -> io::Result<Stream> {
+        match to {
+            Endpoint::Unix(path) => UnixStream::connect(path).await.map(Stream::Unix),
+            Endpoint::Tcp(addr) => {
+                let stream = TcpStream::connect(addr).await?;
+                stream.set_nodelay(true)?;
+                Ok(Stream::Tcp(stream))
+            }
+        }
+    }
+}
+
+/// A listener; a Unix one removes its file when it ends.
+#[derive(Debug)]
+pub enum Listener {
+    Unix(UnixListener, PathBuf),
+    Tcp(TcpListener),
+}
+
+impl Listener {
+    /// Listens there. A socket file that nobody answers at is left over from a killed process and is replaced.
+    ///
+    /// Errors: the address is in use, or cannot be had.
+    pub async fn bind(at: &Endpoint) -> io::Result<Listener> {
+        match at {
+            Endpoint::Tcp(addr) => TcpListener::bind(addr).await.map(Listener::Tcp),
+            Endpoint::Unix(path) => {
+                if is_left_over(path).await {
+                    std::fs::remove_file(path)?;
+                }
+                Ok(Listener::Unix(UnixListener::bind(path)?, path.clone()))
+            }
+        }
+    }
+
+    pub async fn accept(&self) -> io::Result<Stream> {
+        match self {
+            Listener::Unix(listener, _) => listener.accept().await.map(|(stream, _)| Stream::Unix(stream)),
+            Listener::Tcp(listener) => {
+                let (stream, _) = listener.accept().await?;
+                stream.set_nodelay(true)?;
+                Ok(Stream::Tcp(stream))
+            }
+        }
+    }
+}
+
+impl Drop for Listener {
+    fn drop(&mut self) {
+        if let Listener::Unix(_, path) = self {
+            // If it is gone already, there is nothing left to do.
+            std::fs::remove_file(path).ok();
+        }
+    }
+}
+
+async fn is_left_over(path: &Path) -> bool {
+    path.exists() && UnixStream::connect(path).await.is_err()
+}
+
+impl AsyncRead for Stream {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        match self.get_mut() {
+            Stream::Unix(stream) => Pin::new(stream).poll_read(cx, buf),
+            Stream::Tcp(stream) => Pin::new(stream).poll_read(cx, buf),
+        }
+    }
+}
+
+impl AsyncWrite for Stream {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        match self.get_mut() {
+            Stream::Unix(stream) => Pin::new(stream).poll_write(cx, buf),
+            Stream::Tcp(stream) => Pin::new(stream).poll_write(cx, buf),
+        }
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        match self.get_mut() {
+            Stream::Unix(stream) => Pin::new(stream).poll_flush(cx),
+            Stream::Tcp(stream) => Pin::new(stream).poll_flush(cx),
+        }
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        match self.get_mut() {
+            Stream::Unix(stream) => Pin::new(stream).poll_shutdown(cx),
+            Stream::Tcp(stream) => Pin::new(stream).poll_shutdown(cx),
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy-front/src/sums.rs
@@ -0,0 +1,93 @@
+//! Counters of `show stat` turned into what was met since the last look.
+
+use crate::table::Front;
+use pondarch::types::{HostId, KindId, Met, Span, Time};
+use pondarch_runtime_api::stat::{RowType, StatRow, Sums};
+use std::collections::BTreeMap;
+
+/// What one look brought.
+#[derive(Clone, Debug, Default)]
+pub struct Look {
+    pub over: Span,
+    /// By host, all kinds together; hosts nothing ended at are not named.
+    pub met: Vec<(HostId, Met)>,
+    pub reqs: Vec<(KindId, f64)>,
+}
+
+/// The counters at the last look. Each count is given out once.
+#[derive(Clone, Debug, Default)]
+pub struct Counters {
+    at: Option<Time>,
+    servers: BTreeMap<(KindId, HostId), Sums>,
+    reqs: BTreeMap<KindId, u64>,
+    /// The process whose counters these are.
+    process: Option<u64>,
+}
+
+impl Counters {
+    /// Says whose counters come next. Those of a process that started after the last look all count from 0; those
+    /// of one that ran before anybody looked count from the first look on.
+    pub fn process(&mut self, now: Time, process: u64, fresh: bool) {
+        if self.process.replace(process) != Some(process) {
+            *self = Counters { process: Some(process), at: fresh.then_some(now), ..Counters::default() };
+        }
+    }
+
+    pub fn look(&mut self, now: Time, front: &Front, rows: &[StatRow]) -> Look {
+        let kind_of: BTreeMap<&str, KindId> = front
+            .kinds
+            .iter()
+            .enumerate()
+            .map(|(k, kind)| (kind.backend.as_str(), KindId(k as u8)))
+            .collect();
+        let first = self.at.is_none();
+        let over = self.at.map_or(Span::ZERO, |at| now - at);
+        self.at = Some(now);
+        let mut met: BTreeMap<HostId, Sums> = BTreeMap::new();
+        let mut reqs = Vec::new();
+        let mut seen = BTreeMap::new();
+        for row in rows {
+            let Some(&kind) = kind_of.get(row.backend.as_str()) else { continue };
+            match row.of {
+                RowType::Server => {
+                    let (host, sums) = (HostId(row.server.as_str().into()), row.ended());
+                    let before = self.servers.get(&(kind, host.clone())).copied().unwrap_or_default();
+                    // A counter that fell back began anew: all of it is new, and none of it is negative.
+                    let before = if fell(&sums, &before) { Sums::default() } else { before };
+                    let all = met.entry(host.clone()).or_default();
+                    all.done += sums.done - before.done;
+                    all.errored += sums.errored - before.errored;
+                    all.done_time += sums.done_time.saturating_sub(before.done_time);
+                    seen.insert((kind, host), sums);
+                }
+                RowType::Backend => {
+                    let before = self.reqs.insert(kind, row.reqs).filter(|&before| before <= row.reqs);
+                    reqs.push((kind, (row.reqs - before.unwrap_or(0)) as f64));
+                }
+                _ => {}
+            }
+        }
+        // Servers that were deleted are forgotten with their counters: added again, they start from 0.
+        self.servers = seen;
+        if first {
+            return Look::default();
+        }
+        let told = |(host, sums): (HostId, Sums)| {
+            let mean_us = sums.done_time.as_micros() as u64 / sums.done.max(1);
+            let met = Met {
+                tries: (sums.done + sums.errored) as f64,
+                errored: sums.errored as f64,
+                mean_time: Span::from_micros(mean_us),
+                over,
+                load: None,
+            };
+            (host, met)
+        };
+        let ended = met.into_iter().filter(|(_, sums)| sums.done + sums.errored > 0);
+        Look { over, met: ended.map(told).collect(), reqs }
+    }
+}
+
+fn fell(now: &Sums, before: &Sums) -> bool {
+    now.done < before.done || now.errored < before.errored
+}
--- /dev/null
+++ b/crates/rehearsal/src/bad_day/stage.rs
@@ -0,0 +1,340 @@
+//! All that a day needs: hosts, proxies, the list, stewards.
+
+use super::{Plan, RehearsalError};
+use crate::client::{self, Kind};
+use crate::facts::{Fact, Facts, Listed};
+use crate::host::{Host, Make, Trouble};
+use crate::proxy::Proxy;
+use crate::site::{Entry, List, write_settings};
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::UnixStream;
+use tokio::process::{Child, Command};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+
+const ZONES: [&str; 4] = ["ede", "arnhem", "utrecht", "amersfoort"];
+/// How long all proxies may take to be joined at the start, in seconds.
+const JOIN_LIMIT_S: u64 = 10;
+/// Hosts of a standing table at most.
+const STANDING: usize = 8;
+
+pub(super) fn kinds() -> Vec<Kind> {
+    let kind = |name, share, work, target, timeout, benefit, replayable| Kind {
+        name,
+        share,
+        work: Duration::from_millis(work),
+        response_target: Duration::from_millis(target),
+        client_timeout: Duration::from_millis(timeout),
+        benefit,
+        replayable,
+    };
+    vec![
+        kind("proof", 0.48, 60, 600, 2_000, 1.0, true),
+        kind("order", 0.40, 40, 400, 1_500, 5.0, false),
+        kind("release", 0.12, 40, 300, 1_200, 3.0, false),
+    ]
+}
+
+pub(super) struct Stage {
+    hosts: BTreeMap<String, Host>,
+    pub(super) proxies: Vec<Proxy>,
+    pub(super) list: List,
+    stewards: Vec<Option<Child>>,
+    program: PathBuf,
+    folder: PathBuf,
+    facts: Facts,
+    watch: JoinHandle<()>,
+}
+
+impl Stage {
+    pub(super) async fn set(
+        plan: &Plan,
+        program: &Path,
+        folder: &Path,
+        facts: Facts,
+    ) -> Result<Stage, RehearsalError> {
+        let mut list = List::new(folder.join("hosts.jsonnet"), facts.clone());
+        let mut hosts = BTreeMap::new();
+        for n in 0..plan.hosts {
+            let zone = ZONES[n % ZONES.len()];
+            let make = Make {
+                name: format!("{zone}-{}", n / ZONES.len()),
+                zone: zone.to_string(),
+                rack: format!("{zone}-rack-{}", n / (2 * ZONES.len())),
+                cores: 1,
+                start_share: plan.start_share,
+                warm_within: plan.warm_within,
+                warm: true,
+            };
+            let host =
+                Host::start(make, None, facts.clone()).await.map_err(failed("a host cannot be started"))?;
+            hosts.insert(host.make.name.clone(), host);
+        }
+        list.change(|list| {
+            list.extend(hosts.values().map(|host| (host.make.name.clone(), entry(host, None))))
+        })
+        .map_err(failed("the list cannot be written"))?;
+        let mut proxies = Vec::new();
+        let names: Vec<&str> = kinds().iter().map(|kind| kind.name).collect();
+        for n in 0..plan.proxies {
+            let zone = ZONES[n % ZONES.len()];
+            let near = hosts.values().filter(|host| host.make.zone == zone).take(STANDING);
+            let standing: Vec<_> = near.map(|host| (host.make.name.clone(), host.addr)).collect();
+            let (name, seed) = (format!("front-{n}"), plan.seed.wrapping_mul(1_000) + n as u64);
+            let socket = folder.join(format!("{name}.sock"));
+            let proxy = Proxy::start(&name, 100 + n as u64, socket, &names, &standing, seed, facts.clone());
+            proxies.push(proxy.map_err(failed("a proxy cannot be started"))?);
+        }
+        for s in 0..plan.stewards {
+            write_settings(&folder.join(format!("steward-{s}.jsonnet")), &settings(plan, s))
+                .map_err(failed("settings cannot be written"))?;
+        }
+        let sockets = (0..plan.stewards).map(|s| folder.join(format!("steward-{s}.sock"))).collect();
+        let mut stage = Stage {
+            hosts,
+            proxies,
+            list,
+            stewards: (0..plan.stewards).map(|_| None).collect(),
+            program: program.to_path_buf(),
+            folder: folder.to_path_buf(),
+            facts: facts.clone(),
+            watch: tokio::spawn(watch(sockets, facts)),
+        };
+        for s in 0..plan.stewards {
+            stage.start_steward(s)?;
+        }
+        Ok(stage)
+    }
+
+    pub(super) fn start_steward(&mut self, s: usize) -> Result<(), RehearsalError> {
+        let log = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("steward-{s}.log")))
+            .map_err(failed("a log cannot be written"))?;
+        let child = Command::new(&self.program)
+            .args(["--log", "json", "run"])
+            .arg(self.folder.join(format!("steward-{s}.jsonnet")))
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .kill_on_drop(true)
+            .spawn()
+            .map_err(failed("a steward cannot be started"))?;
+        self.stewards[s] = Some(child);
+        Ok(())
+    }
+
+    /// Killed outright: no word to anybody.
+    pub(super) async fn kill_steward(&mut self, s: usize) {
+        if let Some(mut child) = self.stewards[s].take() {
+            // It may have ended by itself: gone either way.
+            child.kill().await.ok();
+        }
+    }
+
+    /// Waits until each proxy has the mark of a steward that runs now.
+    pub(super) async fn wait_joined(&mut self) -> Result<(), RehearsalError> {
+        let deadline = Instant::now() + Duration::from_secs(JOIN_LIMIT_S);
+        loop {
+            for steward in self.stewards.iter_mut().flatten() {
+                if let Ok(Some(status)) = steward.try_wait() {
+                    return Err(RehearsalError::StewardEnded(status.to_string(), self.folder.clone()));
+                }
+            }
+            let mut joined = 0;
+            for s in 0..self.stewards.len() {
+                let text = ask(&self.folder.join(format!("steward-{s}.sock")), "show info").await;
+                joined += text.as_deref().and_then(|text| figure(text, "ProxiesJoined")).unwrap_or(0);
+            }
+            if joined as usize == self.proxies.len() {
+                return Ok(());
+            }
+            if Instant::now() > deadline {
+                return Err(RehearsalError::NotJoined(JOIN_LIMIT_S, self.folder.clone()));
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// How long the script takes at least, with some room for what it waits for.
+    pub(super) fn spans(&self, plan: &Plan) -> Duration {
+        let batch = plan.limits.grace.max(plan.between_batches) + Duration::from_millis(200);
+        plan.opening
+            + plan.slow
+            + plan.silent
+            + batch * plan.deploy.len() as u32
+            + plan.warm_within / 2
+            + plan.calm * 6
+            + Duration::from_secs(4)
+            + plan.steward_away
+            + plan.wrong_list
+    }
+
+    pub(super) fn clients(&self, plan: &Plan, until: Instant) -> impl Future<Output = ()> + Send + use<> {
+        let ids = Arc::new(AtomicU64::new(1));
+        let mut chance = fastrand::Rng::with_seed(plan.seed ^ 0x5eed);
+        // Proxies get unequal parts of the traffic.
+        let parts: Vec<f64> = self.proxies.iter().map(|_| 0.5 + chance.f64()).collect();
+        let sum: f64 = parts.iter().sum();
+        let mut asking = tokio::task::JoinSet::new();
+        for (proxy, part) in self.proxies.iter().zip(parts) {
+            let (rate, seed) = (plan.rate * part / sum, chance.u64(..));
+            asking.spawn(client::ask(
+                proxy.handle(),
+                kinds(),
+                rate,
+                until,
+                ids.clone(),
+                seed,
+                self.facts.clone(),
+            ));
+        }
+        async move { while asking.join_next().await.is_some() {} }
+    }
+
+    pub(super) fn some_host(&self, chance: &mut fastrand::Rng, zone: &str) -> String {
+        let of: Vec<&String> =
+            self.list.hosts.iter().filter(|(_, e)| e.zone == zone).map(|(n, _)| n).collect();
+        of.get(chance.usize(0..of.len().max(1))).map(|name| name.to_string()).unwrap_or_default()
+    }
+
+    pub(super) fn trouble(&self, host: &str, set: impl FnOnce(&Trouble)) {
+        if let Some(host) = self.hosts.get(host) {
+            set(&host.trouble);
+        }
+    }
+
+    /// Hosts of the first day that are still listed, but for these.
+    pub(super) fn replaceable(&self, count: usize, not: &[&String]) -> Vec<String> {
+        let old = |name: &&String| !name.ends_with("-new") && !not.contains(name);
+        self.list.hosts.keys().filter(old).take(count).cloned().collect()
+    }
+
+    /// Cold successors start and are listed, and the old ones drain, in one word of the list.
+    pub(super) async fn successors(&mut self, old: &[String]) -> Result<(), RehearsalError> {
+        let mut new = Vec::new();
+        for name in old {
+            let Some(host) = self.hosts.get(name) else { continue };
+            let make = Make { name: format!("{name}-new"), warm: false, ..host.make.clone() };
+            let host = Host::start(make, None, self.facts.clone()).await.map_err(failed("a successor"))?;
+            let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64();
+            new.push((host.make.name.clone(), entry(&host, Some(started))));
+            self.hosts.insert(host.make.name.clone(), host);
+        }
+        self.list
+            .change(|list| {
+                list.extend(new);
+                for name in old {
+                    if let Some(entry) = list.get_mut(name) {
+                        entry.listed = Listed::Drain;
+                    }
+                }
+            })
+            .map_err(failed("the list cannot be written"))
+    }
+
+    pub(super) fn kill_host(&mut self, name: &str) {
+        self.hosts.remove(name);
+    }
+
+    /// Changes every other host at a steward, so that each of its tables has something to send.
+    pub(super) async fn operator(&self, steward: usize, change: &str) -> Result<(), RehearsalError> {
+        let socket = self.folder.join(format!("steward-{steward}.sock"));
+        for host in self.list.hosts.keys().step_by(2) {
+            ask(&socket, &format!("set server hosts/{host} {change}")).await;
+        }
+        Ok(())
+    }
+
+    pub(super) async fn end(&mut self) {
+        self.watch.abort();
+        for s in 0..self.stewards.len() {
+            self.kill_steward(s).await;
+        }
+    }
+}
+
+fn entry(host: &Host, started: Option<f64>) -> Entry {
+    let make = &host.make;
+    Entry {
+        addr: host.addr,
+        zone: make.zone.clone(),
+        rack: make.rack.clone(),
+        started,
+        listed: Listed::Ready,
+    }
+}
+
+fn failed(what: &'static str) -> impl Fn(std::io::Error) -> RehearsalError {
+    move |wrong| RehearsalError::Io { what: what.into(), wrong }
+}
+
+fn settings(plan: &Plan, steward: usize) -> serde_json::Value {
+    let ms = |span: Duration| format!("{} ms", span.as_millis());
+    let kind = |kind: &Kind| {
+        let repeats = match kind.name {
+            "proof" => "replayable",
+            "order" => "uniqued",
+            _ => "non-replayable",
+        };
+        json!({"name": kind.name, "response_target": ms(kind.response_target),
+            "client_timeout": ms(kind.client_timeout), "benefit": kind.benefit, "repeats": repeats})
+    };
+    let own = (0..plan.proxies).filter(|n| n % plan.stewards == steward);
+    let proxy = |n: usize| {
+        json!({"name": format!("front-{n}"), "zone": ZONES[n % ZONES.len()],
+            "runtime": format!("unix:front-{n}.sock"), "usual_rate": plan.rate / plan.proxies as f64})
+    };
+    json!({
+        "name": format!("steward-{steward}"),
+        "zones": ZONES,
+        "kinds": kinds().iter().map(kind).collect::<Vec<_>>(),
+        "proxies": own.map(proxy).collect::<Vec<_>>(),
+        "proxies_of_site": plan.proxies,
+        "hosts_file": "hosts.jsonnet",
+        "channel": {"lines_per_second": 4000, "most_waiting": plan.limits.most_waiting,
+            "message_cap": plan.limits.message_cap, "message_window": ms(plan.limits.message_window)},
+        "reports": {"every": "1 s"},
+        "cold": {"start_share": plan.start_share, "warm_within": ms(plan.warm_within)},
+        "probes": {"path": "/health", "load_every": "500 ms"},
+        "crossing_price": 0.06,
+        "runtime_api": [{"listen": format!("unix:steward-{steward}.sock"), "level": "admin"}],
+    })
+}
+
+/// Asks the stewards' own sockets how many lines wait.
+async fn watch(sockets: Vec<PathBuf>, facts: Facts) {
+    loop {
+        for (n, socket) in sockets.iter().enumerate() {
+            let text = ask(socket, "show info").await;
+            if let Some(lines) = text.as_deref().and_then(|text| figure(text, "LinesWaiting")) {
+                facts.note(Fact::Waiting { steward: format!("steward-{n}"), lines });
+            }
+        }
+        sleep(Duration::from_millis(250)).await;
+    }
+}
+
+fn figure(info: &str, name: &str) -> Option<u64> {
+    pondarch_runtime_api::info::Info::read(info).number(name)
+}
+
+/// One command on a steward's own socket; none if nobody answers within a second.
+async fn ask(socket: &Path, command: &str) -> Option<String> {
+    let asked = async {
+        let mut stream = UnixStream::connect(socket).await.ok()?;
+        stream.write_all(format!("{command}\n").as_bytes()).await.ok()?;
+        let mut text = String::new();
+        stream.read_to_string(&mut text).await.ok()?;
+        Some(text)
+    };
+    tokio::time::timeout(Duration::from_secs(1), asked).await.ok().flatten()
+}
--- /dev/null
+++ b/crates/rehearsal/src/host.rs
@@ -0,0 +1,198 @@
+//! A stand-in render node: HTTP/1.1, cores with a waiting room, a cold ramp, and troubles on request.
+
+use crate::facts::{Fact, Facts};
+use http_body_util::Empty;
+use hyper::body::{Bytes, Incoming};
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use pondarch_load_report::{HEADER, Report};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::Relaxed};
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tokio::task::{JoinHandle, JoinSet};
+
+/// Reqs that wait at a host at most; it refuses the next one unseen, and says so.
+const WAITING_MOST: usize = 60;
+/// Says with a refusal that the req never ran.
+pub const NEVER_RAN: &str = "x-never-ran";
+
+/// How a host is made.
+#[derive(Clone, Debug)]
+pub struct Make {
+    pub name: String,
+    pub zone: String,
+    pub rack: String,
+    pub cores: usize,
+    pub start_share: f64,
+    pub warm_within: Duration,
+    /// Warm from the first moment: it ran before the day began.
+    pub warm: bool,
+}
+
+/// A running host. Dropping it is its death: all connections break.
+pub struct Host {
+    pub make: Make,
+    pub addr: SocketAddr,
+    pub trouble: Arc<Trouble>,
+    task: JoinHandle<()>,
+    facts: Facts,
+}
+
+/// What is wrong with a host; all of it can be set while it runs.
+#[derive(Debug)]
+pub struct Trouble {
+    /// Times slower, in thousandths.
+    pub slower: AtomicU64,
+    /// Takes reqs and answers none.
+    pub hangs: AtomicBool,
+}
+
+struct Works {
+    make: Make,
+    started: Instant,
+    cores: Semaphore,
+    waiting: AtomicUsize,
+    running: AtomicUsize,
+    trouble: Arc<Trouble>,
+    facts: Facts,
+}
+
+impl Host {
+    /// Starts at this address, or at one of the system's choosing.
+    pub async fn start(make: Make, at: Option<SocketAddr>, facts: Facts) -> std::io::Result<Host> {
+        let listener = TcpListener::bind(at.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)))).await?;
+        let addr = listener.local_addr()?;
+        let trouble = Arc::new(Trouble { slower: AtomicU64::new(1_000), hangs: AtomicBool::new(false) });
+        facts.note(Fact::HostStarted {
+            host: make.name.clone(),
+            cores: make.cores as f64,
+            start_share: if make.warm { 1.0 } else { make.start_share },
+            warm_within: make.warm_within,
+        });
+        let works = Arc::new(Works {
+            started: Instant::now(),
+            cores: Semaphore::new(make.cores),
+            waiting: AtomicUsize::new(0),
+            running: AtomicUsize::new(0),
+            trouble: trouble.clone(),
+            facts: facts.clone(),
+            make: make.clone(),
+        });
+        let task = tokio::spawn(accept(listener, works));
+        Ok(Host { make, addr, trouble, task, facts })
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        self.task.abort();
+        self.facts.note(Fact::HostDied { host: self.make.name.clone() });
+    }
+}
+
+async fn accept(listener: TcpListener, works: Arc<Works>) {
+    // Connections end with this task.
+    let mut connections = JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            Some(_) = connections.join_next() => continue,
+        };
+        let Ok((stream, _)) = accepted else { continue };
+        let works = works.clone();
+        connections.spawn(async move {
+            let serve = service_fn(move |req| {
+                let works = works.clone();
+                async move { Ok::<_, Infallible>(works.serve(req).await) }
+            });
+            // A proxy that gives a req up closes the connection: no failure of the host.
+            hyper::server::conn::http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), serve)
+                .await
+                .ok();
+        });
+    }
+}
+
+impl Works {
+    async fn serve(&self, req: Request<Incoming>) -> Response<Empty<Bytes>> {
+        let text = |name: &str| req.headers().get(name).and_then(|value| value.to_str().ok());
+        if self.trouble.hangs.load(Relaxed) {
+            if let Some((id, work)) = text("x-req").and_then(|id| id.parse().ok()).zip(self.work(&req)) {
+                self.facts.note(Fact::Arrived { host: self.make.name.clone(), req: id, work });
+            }
+            std::future::pending::<()>().await;
+        }
+        let Some(work) = self.work(&req) else { return self.answer(StatusCode::OK, false) };
+        let (id, kind) =
+            (text("x-req").and_then(|id| id.parse().ok()).unwrap_or(0), text("x-kind").unwrap_or(""));
+        let host = self.make.name.clone();
+        self.facts.note(Fact::Arrived { host: host.clone(), req: id, work });
+        if self.waiting.load(Relaxed) >= WAITING_MOST {
+            return self.answer(StatusCode::SERVICE_UNAVAILABLE, true);
+        }
+        let place = Count::up(&self.waiting);
+        let Ok(_core) = self.cores.acquire().await else {
+            return self.answer(StatusCode::SERVICE_UNAVAILABLE, true);
+        };
+        drop(place);
+        let _running = Count::up(&self.running);
+        self.facts.note(Fact::Ran { host, kind: kind.to_string(), req: id });
+        let slower = self.trouble.slower.load(Relaxed) as f64 / 1e3;
+        tokio::time::sleep(work.mul_f64(slower / self.share())).await;
+        self.answer(StatusCode::OK, false)
+    }
+
+    fn work(&self, req: &Request<Incoming>) -> Option<Duration> {
+        let us = req.headers().get("x-work-us")?.to_str().ok()?.parse().ok()?;
+        Some(Duration::from_micros(us))
+    }
+
+    /// The part of its work that it can do by now.
+    fn share(&self) -> f64 {
+        let age = self.started.elapsed().as_secs_f64() / self.make.warm_within.as_secs_f64().max(1e-3);
+        if self.make.warm {
+            1.0
+        } else {
+            (self.make.start_share + (1.0 - self.make.start_share) * age).min(1.0)
+        }
+    }
+
+    fn answer(&self, status: StatusCode, never_ran: bool) -> Response<Empty<Bytes>> {
+        let load = Report {
+            busy: Some(self.running.load(Relaxed) as f64 / self.make.cores as f64),
+            queue: Some(self.waiting.load(Relaxed) as f64),
+            latency_ms: None,
+        };
+        let mut answer = Response::new(Empty::new());
+        *answer.status_mut() = status;
+        if let Ok(value) = load.write().parse() {
+            answer.headers_mut().insert(HEADER, value);
+        }
+        if never_ran && let Ok(value) = "1".parse() {
+            answer.headers_mut().insert(NEVER_RAN, value);
+        }
+        answer
+    }
+}
+
+/// Counts one up until dropped, also when the connection breaks in between.
+struct Count<'a>(&'a AtomicUsize);
+
+impl Count<'_> {
+    fn up(of: &AtomicUsize) -> Count<'_> {
+        of.fetch_add(1, Relaxed);
+        Count(of)
+    }
+}
+
+impl Drop for Count<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/lib.rs
@@ -0,0 +1,20 @@
+//! Stand-in hosts, proxies and clients on loopback, a scripted bad day, and checks of the rules from what crossed
+//! the sockets. Stewards run as processes of their own.
+//!
+//! - `tables`: what a stand-in proxy holds and how it answers the runtime API; no I/O.
+//! - `proxy`, `host`, `client`: the stand-ins.
+//! - `facts`: what they saw, in one list.
+//! - `rules`: the five rules, checked on that list.
+//! - `service`: benefit answered in time over benefit asked for, by span of the day.
+//! - `site`: the settings and list that the stewards are given.
+//! - `bad_day`: the script.
+
+pub mod bad_day;
+pub mod client;
+pub mod facts;
+pub mod host;
+pub mod proxy;
+pub mod rules;
+pub mod service;
+pub mod site;
+pub mod tables;
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,16 @@
+//! Settings and the list of hosts, both Jsonnet files, read into typed and checked values.
+//!
+//! - `jsonnet`: from a file to JSON, and from JSON to a type, with errors that name file, line or key.
+//! - `units`: spans with a unit and endpoints as they are written.
+//! - `site`: what a steward is told of its site.
+//! - `hosts`: the file that lists the hosts.
+
+pub mod hosts;
+mod jsonnet;
+pub mod site;
+pub mod units;
+
+pub use hosts::{HostEntry, HostsFile, read_hosts};
+pub use jsonnet::SettingsError;
+pub use site::{Site, read_site};
+pub use units::{Endpoint, Length};
--- /dev/null
+++ b/crates/steward/src/books.rs
@@ -0,0 +1,85 @@
+//! The tables as the module deals them, and as proxies are to hold them.
+
+use crate::list::HostList;
+use pondarch::types::{HostId, KindId, TableId, Time, Tries};
+use pondarch_proxy_front::units::{Share, units};
+use pondarch_proxy_front::{Lines, WantedLine, table};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// One table.
+#[derive(Debug, Default)]
+pub(crate) struct Book {
+    pub(crate) dealt: BTreeMap<HostId, f64>,
+    pub(crate) levels: BTreeMap<KindId, (f64, Tries)>,
+    /// As proxies are to hold it; none: to be made anew.
+    lines: Option<Arc<Lines>>,
+    pub(crate) held_back: Vec<HostId>,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Books {
+    pub(crate) books: BTreeMap<TableId, Book>,
+}
+
+impl Books {
+    pub(crate) fn deal(&mut self, table: TableId, host: HostId, weight: Option<f64>) {
+        let book = self.books.entry(table).or_default();
+        match weight {
+            Some(weight) => drop(book.dealt.insert(host, weight)),
+            None => drop(book.dealt.remove(&host)),
+        }
+        book.lines = None;
+    }
+
+    pub(crate) fn level(&mut self, table: TableId, kind: KindId, quota: f64, tries: Tries) {
+        self.books.entry(table).or_default().levels.insert(kind, (quota, tries));
+    }
+
+    /// Addresses may have changed: tables that hold one of these hosts are made anew. Gives those tables.
+    pub(crate) fn readdress(&mut self, list: &HostList) -> Vec<TableId> {
+        let mut changed = Vec::new();
+        for (id, book) in &mut self.books {
+            let Some(lines) = &book.lines else { continue };
+            let same = |(host, line): (&HostId, &WantedLine)| list.address(host) == Some(line.addr);
+            if !lines.iter().all(same) {
+                book.lines = None;
+                changed.push(*id);
+            }
+        }
+        changed
+    }
+
+    /// A table as proxies are to hold it.
+    pub(crate) fn lines(&mut self, table: TableId, list: &HostList, now: Time) -> Arc<Lines> {
+        let book = self.books.entry(table).or_default();
+        if let Some(lines) = &book.lines {
+            return lines.clone();
+        }
+        let share = |(host, &weight): (&HostId, &f64)| Share { weight, cold: list.is_cold(host, now) };
+        let shares: Vec<Share> = book.dealt.iter().map(share).collect();
+        let mut lines = Lines::new();
+        book.held_back.clear();
+        for (host, units) in book.dealt.keys().zip(units(&shares)) {
+            match (list.address(host), units) {
+                (Some(addr), Some(units)) => drop(lines.insert(host.clone(), WantedLine { addr, units })),
+                (_, None) => book.held_back.push(host.clone()),
+                // A host the list no longer knows at all cannot be reached by anybody.
+                (None, _) => {}
+            }
+        }
+        let lines = Arc::new(lines);
+        book.lines = Some(lines.clone());
+        lines
+    }
+
+    pub(crate) fn levels(
+        &self,
+        table: TableId,
+        kind: KindId,
+        by_rate: bool,
+    ) -> Option<(String, &'static str)> {
+        let (quota, tries) = self.books.get(&table)?.levels.get(&kind)?;
+        Some((table::level_word(*quota, by_rate), table::tries_word(*tries)))
+    }
+}
--- /dev/null
+++ b/crates/steward/src/channel.rs
@@ -0,0 +1,152 @@
+//! How much may be sent, and when: the budgets that the queue rule states, kept whatever the module or the
+//! proxies do. The module plans well within them; this is what holds when proxies refuse, stall or come in crowds.
+
+use pondarch::types::{Span, Time};
+use pondarch_proxy_front::Urgency;
+use std::collections::VecDeque;
+
+/// Messages of the cap that are kept for drains.
+const DRAIN_RESERVE: usize = 2;
+/// Parts of the lines that may wait which ordinary orders and joins may fill: room is left for drains.
+const ORDINARY_PART: f64 = 0.5;
+const JOIN_PART: f64 = 0.75;
+/// Span whose lines may be sent at one time after a pause.
+const BURST: Span = Span::from_millis(100);
+
+/// The channel of one steward; figures in commands ("lines"), as the proxies count them.
+#[derive(Debug)]
+pub(crate) struct Channel {
+    rate: f64,
+    head: f64,
+    most_waiting: f64,
+    cap: usize,
+    window: Span,
+    /// Lines that may go now; under 0 after a large message.
+    credit: f64,
+    credit_at: Time,
+    /// Written and not answered, heads included.
+    in_flight: f64,
+}
+
+/// The messages written to one proxy within the window.
+#[derive(Debug, Default)]
+pub(crate) struct Mail(VecDeque<Time>);
+
+/// Whether a message may be written now.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Room {
+    Now,
+    /// The cap or the pace: not before this time.
+    At(Time, &'static str),
+    /// Too much is unanswered: as soon as answers come.
+    AfterAnswers,
+}
+
+impl Channel {
+    pub(crate) fn new(rate: f64, head: f64, most_waiting: f64, cap: u64, window: Span, now: Time) -> Channel {
+        let cap = if cap == 0 { usize::MAX } else { cap as usize };
+        Channel { rate, head, most_waiting, cap, window, credit: 0.0, credit_at: now, in_flight: 0.0 }
+    }
+
+    pub(crate) fn waiting(&self) -> f64 {
+        self.in_flight
+    }
+
+    /// How many joins of this many lines may be answered beside those that wait already.
+    pub(crate) fn joins(&self, lines: f64, pending: usize) -> usize {
+        let free = self.most_waiting * JOIN_PART - self.in_flight;
+        let fit = (free / (lines + self.head)).max(0.0) as usize;
+        // One at a time always may, or a large table would keep all out.
+        fit.saturating_sub(pending).max(usize::from(pending == 0 && self.in_flight == 0.0))
+    }
+
+    pub(crate) fn room(&mut self, now: Time, mail: &mut Mail, lines: usize, urgency: Urgency) -> Room {
+        mail.0.retain(|&at| now - at <= self.window);
+        let cap = if urgency == Urgency::Drain { self.cap } else { self.cap.saturating_sub(DRAIN_RESERVE) };
+        if mail.0.len() >= cap {
+            let frees = mail.0[mail.0.len() - cap];
+            return Room::At(frees + self.window + Span::from_millis(1), "message cap");
+        }
+        let part = match urgency {
+            Urgency::Ordinary => ORDINARY_PART,
+            Urgency::Join => JOIN_PART,
+            Urgency::Drain => 1.0,
+        };
+        let all = self.in_flight + lines as f64 + self.head;
+        if all > self.most_waiting * part && self.in_flight > 0.0 {
+            return Room::AfterAnswers;
+        }
+        self.credit = (self.credit + (now - self.credit_at).secs() * self.rate).min(self.rate * BURST.secs());
+        self.credit_at = now;
+        if self.credit < 0.0 {
+            let wait = Span::from_micros((-self.credit / self.rate * 1e6) as u64 + 1);
+            return Room::At(now + wait, "pace");
+        }
+        Room::Now
+    }
+
+    pub(crate) fn wrote(&mut self, now: Time, mail: &mut Mail, lines: usize) -> f64 {
+        mail.0.push_back(now);
+        let cost = lines as f64 + self.head;
+        self.credit -= cost;
+        self.in_flight += cost;
+        cost
+    }
+
+    /// A message is answered, or its proxy is lost.
+    pub(crate) fn cleared(&mut self, cost: f64) {
+        self.in_flight = (self.in_flight - cost).max(0.0);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn at(ms: u64) -> Time {
+        Time::from_micros(1_000_000_000 + ms * 1_000)
+    }
+
+    proptest! {
+        /// Whatever comes, neither budget is passed, and a drain finds room once answers are in.
+        #[test]
+        fn budgets_hold(steps in prop::collection::vec((0..400u64, 0..3usize, 1..60usize, 0..3u8, any::<bool>()), 1..300)) {
+            let mut channel = Channel::new(500.0, 3.0, 300.0, 12, Span::from_millis(10_000), at(0));
+            let mut mails = [Mail::default(), Mail::default(), Mail::default()];
+            let mut written: Vec<Vec<u64>> = vec![Vec::new(); 3];
+            let mut open: Vec<f64> = Vec::new();
+            let mut now = 0;
+            for (wait, to, lines, urgency, answer) in steps {
+                now += wait;
+                if answer {
+                    open.drain(..).for_each(|cost| channel.cleared(cost));
+                }
+                let urgency = [Urgency::Ordinary, Urgency::Join, Urgency::Drain][urgency as usize];
+                match channel.room(at(now), &mut mails[to], lines, urgency) {
+                    Room::Now => {
+                        open.push(channel.wrote(at(now), &mut mails[to], lines));
+                        written[to].push(now);
+                    }
+                    Room::At(when, _) => prop_assert!(when > at(now)),
+                    Room::AfterAnswers => prop_assert!(!open.is_empty()),
+                }
+                let lately = written[to].iter().filter(|&&w| now - w <= 10_000).count();
+                prop_assert!(lately <= 12);
+                prop_assert!(channel.waiting() <= 300.0, "{}", channel.waiting());
+            }
+        }
+    }
+
+    #[test]
+    fn drains_keep_their_reserve() {
+        let mut channel = Channel::new(1e6, 3.0, 1e6, 6, Span::from_millis(10_000), at(0));
+        let mut mail = Mail::default();
+        for n in 0..4 {
+            assert_eq!(channel.room(at(n), &mut mail, 1, Urgency::Ordinary), Room::Now);
+            channel.wrote(at(n), &mut mail, 1);
+        }
+        assert!(matches!(channel.room(at(9), &mut mail, 1, Urgency::Ordinary), Room::At(..)));
+        assert_eq!(channel.room(at(9), &mut mail, 1, Urgency::Drain), Room::Now);
+    }
+}
--- /dev/null
+++ b/crates/steward/src/list.rs
@@ -0,0 +1,183 @@
+//! The hosts as the file lists them, with what operators said over it.
+
+use pondarch::types::{CellId, HostId, Listing, MachineId, Span, Standing, Time, ZoneId};
+use pondarch_settings::HostEntry;
+use pondarch_settings::hosts::HostState;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// What an operator said of a host; it goes over the file until taken back or the file drops the host.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Edit {
+    pub(crate) state: Option<HostState>,
+    pub(crate) weight: Option<f64>,
+    pub(crate) address: Option<SocketAddr>,
+    pub(crate) started: Option<Time>,
+}
+
+/// One host, file and operators taken together.
+#[derive(Clone, Debug)]
+pub(crate) struct Known {
+    pub(crate) entry: HostEntry,
+    pub(crate) started: Time,
+    pub(crate) standing: Standing,
+    /// Since when it is to be left alone.
+    pub(crate) told_away: Option<Time>,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct HostList {
+    zones: Vec<String>,
+    cold: Span,
+    file: Vec<HostEntry>,
+    file_version: Option<u64>,
+    added: BTreeMap<HostId, HostEntry>,
+    edits: BTreeMap<HostId, Edit>,
+    pub(crate) known: BTreeMap<HostId, Known>,
+    machines: Vec<String>,
+    racks: Vec<String>,
+    /// Rises with every change that the module is told of.
+    pub(crate) version: u64,
+    pub(crate) refused: Option<String>,
+}
+
+impl HostList {
+    pub(crate) fn new(zones: Vec<String>, cold: Span) -> HostList {
+        HostList { zones, cold, ..HostList::default() }
+    }
+
+    /// The file's word. A version that falls back is an older copy: it is refused.
+    pub(crate) fn file_came(
+        &mut self,
+        now: Time,
+        version: Option<u64>,
+        hosts: Vec<HostEntry>,
+    ) -> Result<Vec<Listing>, String> {
+        if let (Some(held), Some(new)) = (self.file_version, version)
+            && new < held
+        {
+            let wrong = format!("the list's version fell from {held} to {new}: an older copy, not taken");
+            self.refused = Some(wrong.clone());
+            return Err(wrong);
+        }
+        (self.file, self.file_version, self.refused) = (hosts, version, None);
+        let listed = |id: &HostId| self.file.iter().any(|entry| *entry.name == *id.0);
+        self.added.retain(|id, _| !listed(id));
+        let added = &self.added;
+        self.edits.retain(|id, _| listed(id) || added.contains_key(id));
+        Ok(self.listings(now))
+    }
+
+    pub(crate) fn edit(&mut self, now: Time, host: &HostId, change: impl FnOnce(&mut Edit)) -> Vec<Listing> {
+        change(self.edits.entry(host.clone()).or_default());
+        self.listings(now)
+    }
+
+    pub(crate) fn add(&mut self, now: Time, entry: HostEntry) -> Vec<Listing> {
+        self.added.insert(HostId(entry.name.as_str().into()), entry);
+        self.listings(now)
+    }
+
+    /// A host that only an operator listed is forgotten; one of the file is gone until that is taken back.
+    pub(crate) fn remove(&mut self, now: Time, host: &HostId) -> Vec<Listing> {
+        if self.added.remove(host).is_some() {
+            self.edits.remove(host);
+        } else {
+            self.edits.entry(host.clone()).or_default().state = Some(HostState::Gone);
+        }
+        self.listings(now)
+    }
+
+    /// The complete list for the module; everything that changed is remembered.
+    fn listings(&mut self, now: Time) -> Vec<Listing> {
+        self.version += 1;
+        let first = self.known.is_empty();
+        let mut known = BTreeMap::new();
+        for entry in self.file.iter().chain(self.added.values()) {
+            let id = HostId(entry.name.as_str().into());
+            let edit = self.edits.get(&id).cloned().unwrap_or_default();
+            let mut entry = entry.clone();
+            entry.weight = edit.weight.unwrap_or(entry.weight);
+            entry.address = edit.address.unwrap_or(entry.address);
+            entry.state = edit.state.unwrap_or(entry.state);
+            let before = self.known.get(&id);
+            let standing = match entry.state {
+                HostState::Ready => Standing::Open,
+                HostState::Drain => Standing::Draining,
+                HostState::Gone => Standing::Gone,
+            };
+            let told_away = match standing {
+                Standing::Open => None,
+                _ => before.and_then(|known| known.told_away).or(Some(now)),
+            };
+            let started = edit.started.unwrap_or_else(|| started(now, first, &entry, before));
+            known.insert(id, Known { entry, started, standing, told_away });
+        }
+        // A host that is listed no more stays known as gone: proxies may still hold it.
+        for (id, old) in std::mem::take(&mut self.known) {
+            let told_away = old.told_away.or(Some(now));
+            known.entry(id).or_insert(Known { standing: Standing::Gone, told_away, ..old });
+        }
+        // But not for ever: past the warming time, what has not come back would be new anyway.
+        let kept = self.cold + Span::from_millis(600_000);
+        known.retain(|_, k| k.standing != Standing::Gone || k.told_away.is_none_or(|at| now - at < kept));
+        self.known = known;
+        let listed = self.known.iter().filter(|(_, k)| k.standing != Standing::Gone);
+        let zone = |name: &str| self.zones.iter().position(|z| z == name).unwrap_or(0) as u16;
+        let (machines, racks) = (&mut self.machines, &mut self.racks);
+        listed
+            .map(|(id, k)| Listing {
+                host: id.clone(),
+                zone: ZoneId(zone(&k.entry.zone)),
+                machine: MachineId(number_of(machines, &k.entry.machine) as u16),
+                cell: CellId(number_of(racks, &k.entry.rack) as u64),
+                weight: k.entry.weight,
+                started: k.started,
+                standing: k.standing,
+            })
+            .collect()
+    }
+
+    /// Whether only an operator listed it.
+    pub(crate) fn is_added(&self, host: &HostId) -> bool {
+        self.added.contains_key(host)
+    }
+
+    pub(crate) fn must_go(&self, host: &HostId) -> bool {
+        self.known.get(host).is_none_or(|k| k.standing != Standing::Open)
+    }
+
+    pub(crate) fn address(&self, host: &HostId) -> Option<SocketAddr> {
+        self.known.get(host).map(|k| k.entry.address)
+    }
+
+    pub(crate) fn is_cold(&self, host: &HostId, now: Time) -> bool {
+        let started = self.known.get(host).map_or(Time::default(), |k| k.started);
+        !started.is_unset() && now - started < self.cold
+    }
+
+    pub(crate) fn zones(&self) -> &[String] {
+        &self.zones
+    }
+}
+
+/// When a host's process started, as far as can be told. The list's word counts. Without it, a host of the first
+/// list has long run; one that is new later, or is back, or has another address, is another process: it starts
+/// cold now.
+fn started(now: Time, first: bool, entry: &HostEntry, before: Option<&Known>) -> Time {
+    if let Some(seconds) = entry.started {
+        return Time::from_micros((seconds * 1e6) as u64);
+    }
+    match before {
+        None if first => Time::default(),
+        Some(k) if k.standing != Standing::Gone && k.entry.address == entry.address => k.started,
+        _ => now,
+    }
+}
+
+fn number_of(names: &mut Vec<String>, name: &str) -> usize {
+    names.iter().position(|held| held == name).unwrap_or_else(|| {
+        names.push(name.to_string());
+        names.len() - 1
+    })
+}
--- /dev/null
+++ b/crates/steward/src/operator.rs
@@ -0,0 +1,416 @@
+//! The steward's own runtime API. The backend `hosts` is the list; each table is a backend `table-<n>` that can be
+//! looked at. Changes to `hosts` are the operators' word on the list: they go through the module like the file's.
+
+use crate::core::Core;
+use crate::list::Known;
+use crate::peer::Link;
+use pondarch::types::{HostId, Standing, TableId, Time};
+use pondarch_runtime_api::codec::framed_answer;
+use pondarch_runtime_api::command::{self, GivenWeight};
+use pondarch_runtime_api::info::{Info, write_map};
+use pondarch_runtime_api::stat::{self, RowType, StatRow, Sums};
+use pondarch_runtime_api::state::{self, ServerState};
+use pondarch_runtime_api::{AdminState, Command, CommandError, Level, ServerRef};
+use pondarch_settings::HostEntry;
+use pondarch_settings::hosts::HostState;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// The backend that stands for the list.
+const HOSTS: &str = "hosts";
+/// Name of the map of hosts' zones; it can be set, as `add server` has no word for a zone.
+const ZONES: &str = "zones";
+const DENIED: &str = "Permission denied\n";
+
+/// The answers to one line, each ended as the protocol wants it.
+pub(crate) fn answer(core: &mut Core, level: u8, line: &str) -> String {
+    let level = match level {
+        0 => Level::User,
+        1 => Level::Operator,
+        _ => Level::Admin,
+    };
+    let commands = command::parse_line(line);
+    if commands.is_empty() {
+        return framed_answer("");
+    }
+    commands.into_iter().map(|command| framed_answer(&one(core, level, command))).collect()
+}
+
+fn one(core: &mut Core, level: Level, command: Result<Command, CommandError>) -> String {
+    let command = match command {
+        Ok(command) => command,
+        Err(wrong) => return format!("{wrong}\n"),
+    };
+    if command.level() > level {
+        return DENIED.into();
+    }
+    match command {
+        Command::Help => command::HELP.into(),
+        // Kept by the connection itself; here there is nothing to do.
+        Command::Quit | Command::Prompt(_) => String::new(),
+        Command::ShowInfo { json } => {
+            let info = info(core);
+            if json { info.write_json() } else { info.write() }
+        }
+        Command::ShowStat { json } => {
+            let rows = rows(core);
+            if json { stat::write_json(&rows) } else { stat::write(&rows) }
+        }
+        Command::ShowBackend => {
+            let tables = core.books.books.keys().map(|table| format!("table-{}\n", table.0));
+            std::iter::once(format!("# name\n{HOSTS}\n")).chain(tables).collect()
+        }
+        Command::ShowServersState(backend) => match servers(core, backend.as_deref()) {
+            Some(servers) => state::write_state(&servers),
+            None => "Can't find backend.\n".into(),
+        },
+        Command::ShowServersConn(backend) => match servers(core, backend.as_deref()) {
+            Some(servers) => state::write_conn(&servers),
+            None => "Can't find backend.\n".into(),
+        },
+        Command::ShowErrors => {
+            let line = |(at, text): &(Time, String)| format!("[{:.3}] {text}\n", since(core, *at));
+            core.errors.iter().map(line).collect()
+        }
+        Command::ShowEvents => {
+            let line =
+                |(at, event): &(Time, crate::Event)| format!("<0> [{:.3}] {event:?}\n", since(core, *at));
+            core.events.iter().map(line).collect()
+        }
+        Command::ShowMaps => {
+            let names = ["levels", "tries", "proxies", ZONES];
+            let line = |(n, name): (usize, &&str)| format!("{n} ({name}) pondarch: {}\n", of_map(name));
+            std::iter::once("# id (file) description\n".to_string())
+                .chain(names.iter().enumerate().map(line))
+                .collect()
+        }
+        Command::ShowMap { map, version: None } => match self::map(core, &map) {
+            Some(entries) => write_map(entries.iter()),
+            None => unknown_map(),
+        },
+        Command::GetMap { map, key } => match self::map(core, &map) {
+            Some(entries) => match entries.get(&key) {
+                Some(value) => {
+                    format!("type=str, case=sensitive, found=yes, key=\"{key}\", value=\"{value}\"\n")
+                }
+                None => "type=str, case=sensitive, found=no\n".into(),
+            },
+            None => unknown_map(),
+        },
+        Command::SetMap { map, key, value } if map == ZONES => set_zone(core, &key, &value),
+        Command::ShowMap { .. } | Command::PrepareMap { .. } | Command::CommitMap { .. } => {
+            "The steward's maps have one version: they show what it decided.\n".into()
+        }
+        Command::AddMap { map, .. }
+        | Command::SetMap { map, .. }
+        | Command::DelMap { map, .. }
+        | Command::ClearMap { map, .. } => match self::map(core, &map) {
+            Some(_) => format!("The map '{map}' shows what the steward decided; it can't be set.\n"),
+            None => unknown_map(),
+        },
+        Command::GetWeight(server) => match host(core, &server) {
+            Ok((_, known)) => format!("{} (initial {})\n", known.entry.weight, known.entry.weight),
+            Err(wrong) => wrong,
+        },
+        Command::SetWeight(server, weight) => set_weight(core, &server, weight),
+        Command::SetState(server, state) => set_state(core, &server, state),
+        Command::SetAddr(server, ip, port) => match host(core, &server) {
+            Err(wrong) => wrong,
+            Ok((id, known)) => {
+                let old = known.entry.address;
+                let new = std::net::SocketAddr::new(ip, port.unwrap_or(old.port()));
+                if old == new {
+                    return "no need to change the addr, no need to change the port\n".into();
+                }
+                let now = core.now;
+                let listings = core.list.edit(now, &id, |edit| edit.address = Some(new));
+                core.list_changed(listings);
+                format!(
+                    "IP changed from '{}' to '{}', port changed from '{}' to '{}' by 'stats socket command'\n",
+                    old.ip(),
+                    new.ip(),
+                    old.port(),
+                    new.port()
+                )
+            }
+        },
+        Command::AddServer { server, addr, weight } => add_host(core, &server, addr, weight),
+        Command::DelServer(server) => match host(core, &server) {
+            Err(wrong) => wrong,
+            Ok((_, known)) if known.standing != Standing::Gone => {
+                "Only servers in maintenance mode can be deleted.\n".into()
+            }
+            Ok((id, _)) => {
+                let listings = core.list.remove(core.now, &id);
+                core.list_changed(listings);
+                "Server deleted.\n".into()
+            }
+        },
+    }
+}
+
+fn since(core: &Core, at: Time) -> f64 {
+    (at - core.started).secs()
+}
+
+fn unknown_map() -> String {
+    "Unknown map identifier. Please use #<id> or <name>.\n".into()
+}
+
+fn of_map(name: &str) -> &'static str {
+    match name {
+        "levels" => "share let in by table and kind",
+        "tries" => "when proxies try again, by table and kind",
+        "proxies" => "each proxy's link and table",
+        _ => "zone by host; can be set",
+    }
+}
+
+fn map(core: &Core, name: &str) -> Option<BTreeMap<String, String>> {
+    let by_kind = |value: fn(&(f64, pondarch::types::Tries)) -> String| {
+        let of = |(table, book): (&TableId, &crate::books::Book)| {
+            let key = |kind: usize| format!("table-{}/{}", table.0, core.kinds[kind]);
+            let entries = book.levels.iter().map(|(kind, level)| (key(kind.0 as usize), value(level)));
+            entries.collect::<Vec<_>>()
+        };
+        core.books.books.iter().flat_map(of).collect()
+    };
+    match name {
+        "levels" => Some(by_kind(|(quota, _)| quota.to_string())),
+        "tries" => Some(by_kind(|(_, tries)| pondarch_proxy_front::table::tries_word(*tries).to_string())),
+        "proxies" => {
+            let of = |peer: &crate::peer::Peer| {
+                let link = match peer.link {
+                    Link::Down(_) => "down".to_string(),
+                    Link::Dialling => "dialling".to_string(),
+                    Link::Looking => "looking".to_string(),
+                    Link::Known { .. } => "waits".to_string(),
+                    Link::Joined => {
+                        let tables: std::collections::BTreeSet<_> = peer.bound.values().collect();
+                        let names = tables.iter().map(|table| format!(" table-{}", table.0));
+                        let lag = if peer.dirty.is_some() { " behind" } else { "" };
+                        format!("joined{}{lag}", names.collect::<String>())
+                    }
+                };
+                (peer.name.clone(), link)
+            };
+            Some(core.peers.iter().map(of).collect())
+        }
+        ZONES => {
+            let zone = |(id, known): (&HostId, &Known)| (id.0.to_string(), known.entry.zone.clone());
+            Some(core.list.known.iter().map(zone).collect())
+        }
+        _ => None,
+    }
+}
+
+fn info(core: &Core) -> Info {
+    let mut info = Info::default();
+    let (now, list) = (core.now, &core.list);
+    let open = |s: Standing| list.known.values().filter(|k| k.standing == s).count();
+    let joined = core.peers.iter().filter(|peer| peer.is_joined()).count();
+    let cold = list.known.keys().filter(|host| list.is_cold(host, now)).count();
+    let behind = core.peers.iter().filter(|peer| peer.is_joined() && peer.dirty.is_some()).count();
+    info.put("Name", "pondarch");
+    info.put("Version", env!("CARGO_PKG_VERSION"));
+    info.put("Pid", core.process);
+    info.put("Uptime_sec", (now - core.started).as_micros() / 1_000_000);
+    info.put("Start_time_sec", crate::wire::micros(core.started) / 1_000_000);
+    info.put("Node", &core.name);
+    info.put("ListVersion", list.version);
+    info.put("ListRefused", list.refused.as_deref().unwrap_or("-"));
+    info.put("HostsReady", open(Standing::Open));
+    info.put("HostsDraining", open(Standing::Draining));
+    info.put("HostsGone", open(Standing::Gone));
+    info.put("HostsCold", cold);
+    info.put("Proxies", core.peers.len());
+    info.put("ProxiesJoined", joined);
+    info.put("ProxiesBehind", behind);
+    info.put("Tables", core.books.books.len());
+    info.put("LinesWaiting", core.channel.waiting().round() as u64);
+    info.put("LinesOrdered", core.peers.iter().map(|peer| peer.ordered).sum::<u64>());
+    info.put("LinesRefused", core.peers.iter().map(|peer| peer.refused).sum::<u64>());
+    info
+}
+
+/// A row for each host of the list with what was met there lately, and one for each line of a table.
+fn rows(core: &Core) -> Vec<StatRow> {
+    let mut rows = Vec::new();
+    for (id, known) in &core.list.known {
+        let met = core.met.get(id).copied().unwrap_or_default();
+        rows.push(StatRow {
+            backend: HOSTS.into(),
+            server: id.0.to_string(),
+            of: RowType::Server,
+            status: status(known.standing).into(),
+            weight: known.entry.weight.round() as u64,
+            mean: Duration::from_micros(met.mean_time.as_micros()),
+            addr: known.entry.address.to_string(),
+            sums: Some(Sums {
+                done: (met.tries - met.errored).max(0.0) as u64,
+                errored: met.errored as u64,
+                done_time: Duration::from_micros(
+                    (met.mean_time.as_micros() as f64 * (met.tries - met.errored).max(0.0)) as u64,
+                ),
+            }),
+            ..StatRow::default()
+        });
+    }
+    for (table, book) in &core.books.books {
+        for (id, weight) in &book.dealt {
+            let standing = core.list.known.get(id).map_or(Standing::Gone, |known| known.standing);
+            rows.push(StatRow {
+                backend: format!("table-{}", table.0),
+                server: id.0.to_string(),
+                of: RowType::Server,
+                status: status(standing).into(),
+                // Thousandths: the module's own grain.
+                weight: (weight * 1e3).round() as u64,
+                ..StatRow::default()
+            });
+        }
+    }
+    rows
+}
+
+fn status(standing: Standing) -> &'static str {
+    match standing {
+        Standing::Open => "UP",
+        Standing::Draining => "DRAIN",
+        Standing::Gone => "MAINT",
+    }
+}
+
+fn servers(core: &mut Core, backend: Option<&str>) -> Option<Vec<ServerState>> {
+    let mut servers = Vec::new();
+    if backend.is_none_or(|name| name == HOSTS) {
+        for (id, known) in &core.list.known {
+            servers.push(ServerState {
+                backend: HOSTS.into(),
+                server: id.0.to_string(),
+                addr: known.entry.address,
+                state: match known.standing {
+                    Standing::Open => AdminState::Ready,
+                    Standing::Draining => AdminState::Drain,
+                    Standing::Gone => AdminState::Maint,
+                },
+                weight: known.entry.weight.round().clamp(0.0, 256.0) as u16,
+                used: 0,
+                changed_s: (core.now - known.started).as_micros() / 1_000_000,
+            });
+        }
+    }
+    let named = |table: &TableId| format!("table-{}", table.0);
+    let tables: Vec<TableId> = core.books.books.keys().copied().collect();
+    let of = tables.iter().filter(|table| backend.is_none_or(|name| name == named(table)));
+    for &table in of {
+        let lines = core.books.lines(table, &core.list, core.now);
+        for (id, line) in lines.iter() {
+            servers.push(ServerState {
+                backend: named(&table),
+                server: id.0.to_string(),
+                addr: line.addr,
+                state: AdminState::Ready,
+                weight: line.units,
+                used: 0,
+                changed_s: 0,
+            });
+        }
+    }
+    let known = backend.is_none_or(|name| name == HOSTS || tables.iter().any(|table| name == named(table)));
+    known.then_some(servers)
+}
+
+fn host(core: &Core, server: &ServerRef) -> Result<(HostId, Known), String> {
+    if server.backend != HOSTS {
+        let table = core.books.books.keys().any(|table| server.backend == format!("table-{}", table.0));
+        return Err(if table {
+            "Tables are the steward's: change a host under 'hosts'.\n".into()
+        } else {
+            "No such backend.\n".into()
+        });
+    }
+    let id = HostId(server.server.as_str().into());
+    core.list.known.get(&id).map(|known| (id, known.clone())).ok_or_else(|| "No such server.\n".into())
+}
+
+fn set_weight(core: &mut Core, server: &ServerRef, weight: GivenWeight) -> String {
+    match (host(core, server), weight) {
+        (Err(wrong), _) => wrong,
+        (Ok(_), GivenWeight::Units(0)) => {
+            "A listed weight is above 0; use 'set server <srv> state drain' to send nothing new there.\n"
+                .into()
+        }
+        (Ok((id, known)), weight) => {
+            let weight = match weight {
+                GivenWeight::Units(units) => f64::from(units),
+                GivenWeight::Percent(part) => known.entry.weight * part / 100.0,
+            };
+            if weight <= 0.0 {
+                return "A listed weight is above 0.\n".into();
+            }
+            let listings = core.list.edit(core.now, &id, |edit| edit.weight = Some(weight));
+            core.list_changed(listings);
+            String::new()
+        }
+    }
+}
+
+fn set_state(core: &mut Core, server: &ServerRef, state: AdminState) -> String {
+    match host(core, server) {
+        Err(wrong) => wrong,
+        Ok((id, _)) => {
+            let state = match state {
+                AdminState::Ready => HostState::Ready,
+                AdminState::Drain => HostState::Drain,
+                AdminState::Maint => HostState::Gone,
+            };
+            let listings = core.list.edit(core.now, &id, |edit| edit.state = Some(state));
+            core.list_changed(listings);
+            String::new()
+        }
+    }
+}
+
+/// As the guide has it, a new server is in maintenance; its zone is set by the map before it is made ready.
+fn add_host(core: &mut Core, server: &ServerRef, addr: std::net::SocketAddr, weight: Option<u16>) -> String {
+    if server.backend != HOSTS {
+        return "No such backend.\n".into();
+    }
+    let id = HostId(server.server.as_str().into());
+    if core.list.known.get(&id).is_some_and(|known| known.standing != Standing::Gone) {
+        return "Already exists a server with the same name in the backend.\n".into();
+    }
+    let fits = |c: char| c.is_ascii_alphanumeric() || "-_.:".contains(c);
+    if server.server.len() > 64 || !server.server.chars().all(fits) {
+        return "A host's name has 1 to 64 letters, digits, '-', '_', '.' or ':'.\n".into();
+    }
+    let entry = HostEntry {
+        name: server.server.clone(),
+        address: addr,
+        zone: core.list.zones().first().cloned().unwrap_or_default(),
+        rack: String::new(),
+        machine: String::new(),
+        weight: f64::from(weight.unwrap_or(1).max(1)),
+        started: None,
+        state: HostState::Gone,
+    };
+    let listings = core.list.add(core.now, entry);
+    core.list_changed(listings);
+    "New server registered.\n".into()
+}
+
+fn set_zone(core: &mut Core, key: &str, zone: &str) -> String {
+    let id = HostId(key.into());
+    let Some(known) = core.list.known.get(&id).cloned() else { return "entry not found.\n".into() };
+    if !core.list.zones().iter().any(|known| known == zone) {
+        return format!("'{zone}' is none of the site's zones: {}.\n", core.list.zones().join(", "));
+    }
+    if !core.list.is_added(&id) {
+        return "The file names this host's zone; change it there.\n".into();
+    }
+    let entry = HostEntry { zone: zone.to_string(), ..known.entry };
+    let listings = core.list.add(core.now, entry);
+    core.list_changed(listings);
+    String::new()
+}
--- /dev/null
+++ b/crates/steward/src/wire.rs
@@ -0,0 +1,166 @@
+//! What goes into a steward's core and what comes out of it. Both can be recorded.
+
+use pondarch::types::{Load, Span, Time};
+use pondarch_settings::HostEntry;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Something that happened. `conn` tells one connection to a proxy from the next.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Input {
+    /// The time that was asked for has come.
+    Tick,
+    List {
+        version: Option<u64>,
+        hosts: Vec<HostEntry>,
+    },
+    /// The list cannot be had: the last good one holds.
+    ListRefused {
+        wrong: String,
+    },
+    Connected {
+        proxy: u16,
+        conn: u64,
+    },
+    /// One answer of a proxy, as it stands on the wire.
+    Answer {
+        proxy: u16,
+        conn: u64,
+        text: String,
+    },
+    /// The connection is gone or never came to be.
+    Lost {
+        proxy: u16,
+        conn: u64,
+        why: String,
+    },
+    Probed {
+        host: String,
+        for_load: bool,
+        good: bool,
+        load: Option<LoadTold>,
+    },
+    /// One line of an operator, with the level of the connection: 0 user, 1 operator, 2 admin.
+    Command {
+        caller: u64,
+        level: u8,
+        line: String,
+    },
+}
+
+/// A host's own word on its load.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LoadTold {
+    /// Busy part of all cores, 0 to 1.
+    pub busy: Option<f64>,
+    /// Reqs waiting.
+    pub queue: Option<f64>,
+    /// Recent service time without waiting, in milliseconds.
+    pub service_ms: Option<f64>,
+}
+
+/// Something to be done, in the order given.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub enum Output {
+    Dial {
+        proxy: u16,
+        conn: u64,
+    },
+    Write {
+        proxy: u16,
+        conn: u64,
+        lines: Vec<String>,
+    },
+    Hangup {
+        proxy: u16,
+        conn: u64,
+    },
+    Probe {
+        host: String,
+        addr: SocketAddr,
+        for_load: bool,
+    },
+    /// The answers to a line of an operator, as they are to be written.
+    Reply {
+        caller: u64,
+        text: String,
+    },
+    Event(Event),
+}
+
+/// What there is to tell, with the input that led to it.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub enum Event {
+    ListTaken {
+        version: u64,
+        open: usize,
+        draining: usize,
+        gone: usize,
+    },
+    ListRefused {
+        wrong: String,
+    },
+    Joined {
+        proxy: String,
+        fresh: bool,
+        cause: String,
+    },
+    Left {
+        proxy: String,
+        why: String,
+    },
+    Bound {
+        proxy: String,
+        table: u16,
+        cause: String,
+    },
+    /// Lines of a table as they are now, those that changed only; 0: gone from it.
+    TableChanged {
+        table: u16,
+        lines: Vec<(String, f64)>,
+        cause: String,
+    },
+    LevelChanged {
+        table: u16,
+        kind: String,
+        quota: f64,
+        tries: &'static str,
+        cause: String,
+    },
+    Ordered {
+        proxy: String,
+        commands: usize,
+        urgency: &'static str,
+        cause: String,
+    },
+    Applied {
+        proxy: String,
+        took_us: u64,
+    },
+    Refused {
+        proxy: String,
+        wrong: String,
+    },
+    /// The channel or the cap makes this proxy's orders wait.
+    Waits {
+        proxy: String,
+        why: &'static str,
+    },
+    /// A cold host's line is too light to be told in whole numbers.
+    HeldBack {
+        table: u16,
+        host: String,
+    },
+}
+
+impl LoadTold {
+    pub(crate) fn load(&self) -> Load {
+        let ms = |ms: f64| Span::from_micros((ms.clamp(0.0, 3_600e3) * 1e3) as u64);
+        Load { busy: self.busy, queue: self.queue, service: self.service_ms.map(ms) }
+    }
+}
+
+/// Microseconds of a point in time, for records.
+pub fn micros(at: Time) -> u64 {
+    (at - Time::default()).as_micros()
+}
