--- a/crates/cli/src/rehearse.rs
+++ b/crates/cli/src/rehearse.rs
@@ -1,9 +1,11 @@
 //! `pondarch rehearse`: plays troubles on loopback, with this same program as the stewards.
 
 use crate::failed;
-use clap::Subcommand;
-use pondarch_rehearsal::bad_day::{Plan, play};
-use std::path::PathBuf;
+use clap::{Args, Subcommand};
+use pondarch_rehearsal::bad_day::RehearsalError;
+use pondarch_rehearsal::{bad_day, storm};
+use serde::Serialize;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 #[derive(Subcommand)]
@@ -15,48 +17,90 @@
         /// A day of a third of the length and half of the size.
         #[arg(long)]
         short: bool,
-        /// Prints the figures as JSON.
-        #[arg(long)]
-        json: bool,
-        /// Where sockets, lists and logs go; absent: a new folder for temporary files, kept if a rule broke.
-        #[arg(long)]
-        folder: Option<PathBuf>,
+        #[command(flatten)]
+        show: Show,
+    },
+    /// Many proxies and hosts, no traffic: joins, drains, and what they cost.
+    Storm {
+        #[arg(long, default_value_t = 200)]
+        proxies: usize,
+        #[arg(long, default_value_t = 700)]
+        hosts: usize,
+        #[command(flatten)]
+        show: Show,
     },
 }
 
-pub(crate) async fn rehearse(scene: Scene) -> ExitCode {
-    let Scene::BadDay { seed, short, json, folder } = scene;
-    let program = match std::env::current_exe() {
-        Ok(program) => program,
-        Err(wrong) => return failed(&format!("cannot find this program: {wrong}")),
-    };
-    let own = folder.is_none();
-    let folder = folder
-        .unwrap_or_else(|| std::env::temp_dir().join(format!("pondarch-bad-day-{}", std::process::id())));
-    if let Err(wrong) = std::fs::create_dir_all(&folder) {
-        return failed(&format!("{}: {wrong}", folder.display()));
+#[derive(Args)]
+pub(crate) struct Show {
+    /// Prints the figures as JSON.
+    #[arg(long)]
+    json: bool,
+    /// Where sockets, lists and logs go; absent: a new folder for temporary files, kept if a rule broke.
+    #[arg(long)]
+    folder: Option<PathBuf>,
+}
+
+impl Show {
+    fn folder(&self) -> Result<PathBuf, String> {
+        let new = || std::env::temp_dir().join(format!("pondarch-rehearsal-{}", std::process::id()));
+        let folder = self.folder.clone().unwrap_or_else(new);
+        std::fs::create_dir_all(&folder).map_err(|wrong| format!("{}: {wrong}", folder.display()))?;
+        Ok(folder)
+    }
+
+    fn print(&self, report: &impl Serialize, text: Result<String, RehearsalError>) -> Result<(), String> {
+        let text = if self.json {
+            serde_json::to_string_pretty(report).map_err(|wrong| wrong.to_string())?
+        } else {
+            text.map_err(|wrong| wrong.to_string())?
+        };
+        println!("{text}");
+        Ok(())
     }
-    let plan = if short { Plan::short(seed) } else { Plan::full(seed) };
-    let report = match play(plan, &program, &folder).await {
-        Ok(report) => report,
-        Err(wrong) => return failed(&wrong.to_string()),
-    };
-    let text = if json {
-        serde_json::to_string_pretty(&report).map_err(|e| e.to_string())
-    } else {
-        report.text().map_err(|e| e.to_string())
-    };
-    match text {
-        Ok(text) => println!("{text}"),
-        Err(wrong) => return failed(&wrong),
+
+    /// Left-over files of a rehearsal that went well help nobody.
+    fn tidy(&self, folder: &Path) {
+        if self.folder.is_none() {
+            std::fs::remove_dir_all(folder).ok();
+        }
     }
-    if !report.rules_held() {
-        println!("The stewards' logs are in {}", folder.display());
-        return ExitCode::from(1);
+}
+
+pub(crate) async fn rehearse(scene: Scene) -> ExitCode {
+    match played(scene).await {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(wrong) => failed(&wrong),
     }
-    if own {
-        // Left-over files of a rehearsal harm nobody.
-        std::fs::remove_dir_all(&folder).ok();
+}
+
+/// Plays a scene; gives whether the rules held.
+async fn played(scene: Scene) -> Result<bool, String> {
+    let program = std::env::current_exe().map_err(|wrong| format!("cannot find this program: {wrong}"))?;
+    match scene {
+        Scene::BadDay { seed, short, show } => {
+            let folder = show.folder()?;
+            let plan = if short { bad_day::Plan::short(seed) } else { bad_day::Plan::full(seed) };
+            let report = bad_day::play(plan, &program, &folder).await.map_err(|wrong| wrong.to_string())?;
+            show.print(&report, report.text())?;
+            if report.rules_held() {
+                show.tidy(&folder);
+            } else {
+                eprintln!("pondarch: the stewards' logs are in {}", folder.display());
+            }
+            Ok(report.rules_held())
+        }
+        Scene::Storm { proxies, hosts, show } => {
+            if !(1..=1_000).contains(&proxies) || !(8..=5_000).contains(&hosts) {
+                return Err("a storm has 1 to 1000 proxies and 8 to 5000 hosts".into());
+            }
+            let folder = show.folder()?;
+            let plan = storm::Plan { proxies, hosts, ..storm::Plan::default() };
+            let report = storm::play(&plan, &program, &folder).await.map_err(|wrong| wrong.to_string())?;
+            show.print(&report, report.text())?;
+            show.tidy(&folder);
+            Ok(true)
+        }
     }
-    ExitCode::SUCCESS
 }
--- /dev/null
+++ b/crates/cli/tests/bad_day.rs
@@ -0,0 +1,18 @@
+//! The bad day, short and seeded: all five rules hold from what crossed the sockets.
+
+use std::process::Command;
+
+#[test]
+fn a_short_bad_day_keeps_the_rules() {
+    let output = Command::new(env!("CARGO_BIN_EXE_pondarch"))
+        .args(["rehearse", "bad-day", "--short", "--seed", "3", "--json"])
+        .output()
+        .expect("the program starts");
+    let (text, wrong) = (String::from_utf8_lossy(&output.stdout), String::from_utf8_lossy(&output.stderr));
+    assert!(output.status.success(), "{text}\n{wrong}");
+    let report: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+    assert_eq!(report["held"].as_array().map(Vec::len), Some(5), "{text}");
+    assert_eq!(report["moments"].as_array().map(Vec::len), Some(7), "{text}");
+    // Far under what is measured: this test is of the rules, and machines differ.
+    assert!(report["service"].as_f64().is_some_and(|share| share > 0.7), "{text}");
+}
--- a/crates/rehearsal/src/bad_day.rs
+++ b/crates/rehearsal/src/bad_day.rs
@@ -5,6 +5,7 @@
 mod stage;
 
 pub use report::{Moment, Report};
+pub(crate) use stage::ask;
 
 use crate::facts::{Fact, Facts, Listed};
 use crate::rules::{self, Limits};
--- a/crates/rehearsal/src/bad_day/stage.rs
+++ b/crates/rehearsal/src/bad_day/stage.rs
@@ -328,7 +328,7 @@
 }
 
 /// One command on a steward's own socket; none if nobody answers within a second.
-async fn ask(socket: &Path, command: &str) -> Option<String> {
+pub(crate) async fn ask(socket: &Path, command: &str) -> Option<String> {
     let asked = async {
         let mut stream = UnixStream::connect(socket).await.ok()?;
         stream.write_all(format!("{command}\n").as_bytes()).await.ok()?;
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -7,7 +7,7 @@
 //! - `rules`: the five rules, checked on that list.
 //! - `service`: benefit answered in time over benefit asked for, by span of the day.
 //! - `site`: the settings and list that the stewards are given.
-//! - `bad_day`: the script.
+//! - `bad_day`, `storm`: the scripts.
 
 pub mod bad_day;
 pub mod client;
@@ -17,4 +17,5 @@
 pub mod rules;
 pub mod service;
 pub mod site;
+pub mod storm;
 pub mod tables;
--- /dev/null
+++ b/crates/steward/tests/in_memory/town.rs
@@ -0,0 +1,286 @@
+//! A site in memory: a core, and proxies that answer its commands. Whatever crosses a socket elsewhere crosses a
+//! queue here, and can be cut, held up or doubled.
+
+use pondarch::types::Time;
+use pondarch_rehearsal::tables::{Server, Tables};
+use pondarch_runtime_api::{AdminState, Command, command};
+use pondarch_settings::hosts::{HostEntry, HostState};
+use pondarch_settings::{Length, Site, site};
+use pondarch_steward::{Core, Event, Input, Output};
+use std::collections::{BTreeMap, VecDeque};
+
+pub const SECOND: u64 = 1_000_000;
+pub const KINDS: [&str; 3] = ["proof", "order", "release"];
+pub const START: u64 = 1_800_000_000 * SECOND;
+
+/// What a proxy does with the next orders.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fault {
+    None,
+    /// Breaks off after so many commands.
+    CutAfter(usize),
+    Twice,
+    /// Refuses this command of the batch, by its place.
+    Refuse(usize),
+    /// Refuses to add any server, at all times.
+    RefuseAdds,
+    /// Takes everything and answers nothing.
+    Silent,
+}
+
+pub struct Front {
+    pub tables: Tables,
+    pub up: bool,
+    pub conn: Option<u64>,
+    pub fault: Fault,
+    /// Orders that came, each with its time and commands.
+    pub orders: Vec<(u64, Vec<String>)>,
+    lines: VecDeque<(u64, String)>,
+}
+
+pub struct Town {
+    pub core: Core,
+    pub now: u64,
+    pub fronts: Vec<Front>,
+    pub events: Vec<Event>,
+    pub replies: BTreeMap<u64, String>,
+    pub inputs: Vec<(u64, Input)>,
+    pub outputs: Vec<Output>,
+    pub version: u64,
+    callers: u64,
+}
+
+pub fn addr(n: usize) -> std::net::SocketAddr {
+    ([127, 0, (n / 200) as u8, (n % 200) as u8 + 1], 8000).into()
+}
+
+pub fn host(n: usize) -> HostEntry {
+    HostEntry {
+        name: format!("host-{n}"),
+        address: addr(n),
+        zone: ["ede", "arnhem"][n % 2].into(),
+        rack: format!("rack-{}", n / 4),
+        machine: String::new(),
+        weight: 1.0,
+        started: None,
+        state: HostState::Ready,
+    }
+}
+
+pub fn site(proxies: usize) -> Site {
+    let span = Length::millis;
+    let kind = |name: &str| site::Kind {
+        name: name.into(),
+        backend: None,
+        response_target: span(1_000),
+        client_timeout: span(3_000),
+        benefit: 1.0,
+        repeats: site::Repeats::NonReplayable,
+        own_zone: false,
+    };
+    let proxy = |n: usize| site::Proxy {
+        name: format!("front-{n}"),
+        zone: ["ede", "arnhem"][n % 2].into(),
+        runtime: format!("unix:/front-{n}").parse().expect("a path"),
+        usual_rate: 5.0,
+    };
+    Site {
+        name: "steward".into(),
+        zones: vec!["ede".into(), "arnhem".into()],
+        kinds: KINDS.map(kind).into(),
+        proxies: (0..proxies).map(proxy).collect(),
+        proxies_of_site: None,
+        hosts_file: "hosts".into(),
+        channel: site::Channel {
+            lines_per_second: 8_000.0,
+            most_waiting: 8_000.0,
+            lines_per_message: 3.0,
+            message_cap: 12,
+            message_window: span(10_000),
+        },
+        reports: site::Reports::default(),
+        cold: site::Cold { start_share: 0.2, warm_within: span(18_000) },
+        probes: None,
+        links: site::Links::default(),
+        admission: site::AdmissionBy::Share,
+        crossing_price: 0.06,
+        dropped_is_no_drain: false,
+        runtime_api: Vec::new(),
+    }
+}
+
+impl Town {
+    pub fn open(site: &Site, hosts: usize) -> Town {
+        let front = |(n, proxy): (usize, &site::Proxy)| {
+            let mut tables = Tables::new(&proxy.name, 100 + n as u64, &KINDS);
+            // Standing tables: two hosts each.
+            for backend in tables.backends.values_mut() {
+                for h in [n % hosts.max(1), (n + 1) % hosts.max(1)] {
+                    let server = Server::new(addr(h), 100, AdminState::Ready);
+                    backend.servers.insert(format!("host-{h}"), server);
+                }
+            }
+            Front {
+                tables,
+                up: true,
+                conn: None,
+                fault: Fault::None,
+                orders: Vec::new(),
+                lines: VecDeque::new(),
+            }
+        };
+        let fronts = site.proxies.iter().enumerate().map(front).collect();
+        let core = Core::new(site, 7, 1, Time::from_micros(START));
+        let mut town = Town {
+            core,
+            now: START,
+            fronts,
+            events: Vec::new(),
+            replies: BTreeMap::new(),
+            inputs: Vec::new(),
+            outputs: Vec::new(),
+            version: 0,
+            callers: 0,
+        };
+        town.list((0..hosts).map(host).collect());
+        town
+    }
+
+    pub fn list(&mut self, hosts: Vec<HostEntry>) {
+        self.version += 1;
+        self.give(Input::List { version: Some(self.version), hosts });
+    }
+
+    pub fn give(&mut self, input: Input) {
+        self.inputs.push((self.now, input.clone()));
+        self.core.handle(Time::from_micros(self.now), input);
+        while let Some(output) = self.core.next_output() {
+            self.outputs.push(output.clone());
+            self.carry_out(output);
+        }
+    }
+
+    fn carry_out(&mut self, output: Output) {
+        match output {
+            Output::Dial { proxy, conn } => {
+                let front = &mut self.fronts[proxy as usize];
+                front.conn = front.up.then_some(conn);
+                front.lines.clear();
+                let input = match front.conn {
+                    Some(conn) => Input::Connected { proxy, conn },
+                    None => Input::Lost { proxy, conn, why: "refused".into() },
+                };
+                self.give(input);
+            }
+            Output::Write { proxy, conn, lines } => {
+                self.fronts[proxy as usize].lines.extend(lines.into_iter().map(|line| (conn, line)));
+            }
+            Output::Hangup { proxy, conn } => {
+                let front = &mut self.fronts[proxy as usize];
+                front.conn = front.conn.filter(|held| *held != conn);
+                front.lines.clear();
+            }
+            Output::Reply { caller, text } => drop(self.replies.insert(caller, text)),
+            Output::Event(event) => self.events.push(event),
+            Output::Probe { .. } => {}
+        }
+    }
+
+    /// Proxies answer all that was written to them.
+    pub fn deliver(&mut self) {
+        while let Some(n) = (0..self.fronts.len()).find(|&n| !self.fronts[n].lines.is_empty()) {
+            let front = &mut self.fronts[n];
+            let Some((conn, line)) = front.lines.pop_front() else { continue };
+            if front.conn != Some(conn) || front.fault == Fault::Silent {
+                continue;
+            }
+            let proxy = n as u16;
+            let commands: Vec<Command> = command::parse_line(&line).into_iter().flatten().collect();
+            let orders = commands.iter().any(Tables::is_order);
+            if orders {
+                front.orders.push((self.now, commands.iter().map(Command::to_string).collect()));
+            }
+            let fault = if orders { front.fault } else { Fault::None };
+            if orders && fault != Fault::RefuseAdds {
+                front.fault = Fault::None;
+            }
+            let mut answers: Vec<String> = Vec::new();
+            for (at, command) in commands.iter().enumerate() {
+                match fault {
+                    Fault::CutAfter(cut) if at == cut => break,
+                    Fault::Refuse(place) if at == place => answers.push("Not now.\n".into()),
+                    Fault::RefuseAdds if matches!(command, Command::AddServer { .. }) => {
+                        answers.push("Out of memory.\n".into());
+                    }
+                    _ => answers.push(front.tables.command(command.clone())),
+                }
+            }
+            if fault == Fault::Twice {
+                commands.iter().for_each(|command| drop(front.tables.command(command.clone())));
+            }
+            if matches!(fault, Fault::CutAfter(cut) if cut < commands.len()) {
+                // The answers are lost with the connection.
+                self.drop_link(n);
+                continue;
+            }
+            for text in answers {
+                self.give(Input::Answer { proxy, conn, text });
+            }
+        }
+    }
+
+    /// A connection breaks.
+    pub fn drop_link(&mut self, n: usize) {
+        self.fronts[n].lines.clear();
+        if let Some(conn) = self.fronts[n].conn.take() {
+            self.give(Input::Lost { proxy: n as u16, conn, why: "broke".into() });
+        }
+    }
+
+    /// Time goes on, and proxies answer at once.
+    pub fn run(&mut self, millis: u64) {
+        let end = self.now + millis * 1_000;
+        self.deliver();
+        loop {
+            let wake = (self.core.wake_at() - Time::default()).as_micros().max(self.now + 1);
+            if wake > end {
+                break;
+            }
+            self.now = wake;
+            self.give(Input::Tick);
+            self.deliver();
+        }
+        self.now = end;
+    }
+
+    pub fn command(&mut self, level: u8, line: &str) -> String {
+        self.callers += 1;
+        let caller = self.callers;
+        self.give(Input::Command { caller, level, line: line.into() });
+        self.replies.remove(&caller).unwrap_or_default()
+    }
+
+    /// Counts reqs at a proxy's servers, as if traffic had gone there.
+    pub fn traffic(&mut self, n: usize, done: u64, errored: u64, mean_ms: u64) {
+        for backend in self.fronts[n].tables.backends.values_mut() {
+            backend.reqs += done + errored;
+            for server in backend.servers.values_mut().filter(|server| server.serves()) {
+                server.total += done + errored;
+                server.sums.done += done;
+                server.sums.errored += errored;
+                server.sums.done_time += std::time::Duration::from_millis(mean_ms * done);
+            }
+        }
+    }
+
+    pub fn serving(&self, n: usize, kind: &str) -> BTreeMap<String, (std::net::SocketAddr, u16)> {
+        let servers = &self.fronts[n].tables.backends[kind].servers;
+        let serving = servers.iter().filter(|(_, server)| server.serves());
+        serving.map(|(name, server)| (name.clone(), (server.addr, server.weight))).collect()
+    }
+
+    pub fn info(&mut self, name: &str) -> u64 {
+        let text = self.command(0, "show info");
+        pondarch_runtime_api::info::Info::read(&text).number(name).unwrap_or(0)
+    }
+}
