--- a/crates/steward/src/books.rs
+++ b/crates/steward/src/books.rs
@@ -14,7 +14,7 @@
     pub(crate) levels: BTreeMap<KindId, (f64, Tries)>,
     /// As proxies are to hold it; none: to be made anew.
     lines: Option<Arc<Lines>>,
-    pub(crate) held_back: Vec<HostId>,
+    held_back: Vec<HostId>,
 }
 
 #[derive(Debug, Default)]
@@ -73,6 +73,14 @@
         lines
     }
 
+    /// Cold hosts of a table that cannot be told, and could be before its last change.
+    pub(crate) fn newly_held_back(&mut self, table: TableId, list: &HostList, now: Time) -> Vec<HostId> {
+        let before = self.books.get(&table).map(|book| book.held_back.clone()).unwrap_or_default();
+        self.lines(table, list, now);
+        let held = self.books.get(&table).map(|book| book.held_back.as_slice()).unwrap_or_default();
+        held.iter().filter(|host| !before.contains(host)).cloned().collect()
+    }
+
     pub(crate) fn levels(
         &self,
         table: TableId,
--- /dev/null
+++ b/crates/steward/src/course.rs
@@ -0,0 +1,379 @@
+//! The course of things: each input is noted, and the decision module told. What follows from its decisions stands
+//! in `follow`. The order within an input is always the same: note it, ask the module, bring proxies up to date.
+
+use crate::books::Books;
+use crate::channel::Channel;
+use crate::list::HostList;
+use crate::peer::{Link, Peer};
+use crate::round::Rounds;
+use crate::wire::{Event, Input, LoadTold, Output};
+use crate::zones::Zones;
+use pondarch::Steward;
+use pondarch::types::{Admission, HostId, Listing, Load, Met, Span, Time};
+use pondarch_proxy_front::{Front, FrontKind, Told};
+use pondarch_settings::Site;
+use pondarch_settings::site::Links;
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+/// Events that are kept for `show events`, the newest; and errors for `show errors`.
+const KEPT_MOST: usize = 256;
+/// Load reports older than this many of their periods are not passed on: the module weighs them as new.
+const LOAD_PERIODS: f64 = 3.0;
+/// Dials under way at one time: a fleet that comes back at once must not flood this machine's sockets.
+const DIALS_MOST: usize = 64;
+
+pub(crate) struct Course {
+    pub(crate) name: String,
+    pub(crate) kinds: Vec<String>,
+    pub(crate) links: Links,
+    pub(crate) load_every: Option<Span>,
+    pub(crate) by_rate: bool,
+    pub(crate) process: u32,
+    pub(crate) started: Time,
+    pub(crate) now: Time,
+    pub(crate) steward: Steward,
+    pub(crate) list: HostList,
+    pub(crate) zones: Zones,
+    pub(crate) books: Books,
+    pub(crate) peers: Vec<Peer>,
+    pub(crate) channel: Channel,
+    pub(crate) rounds: Rounds,
+    pub(crate) chance: fastrand::Rng,
+    pub(crate) woken_at: Option<Time>,
+    pub(crate) loads: BTreeMap<HostId, (Time, Load)>,
+    pub(crate) met: BTreeMap<HostId, Met>,
+    pub(crate) load_at: Option<Time>,
+    pub(crate) inputs: u64,
+    pub(crate) cause: String,
+    pub(crate) events: VecDeque<(Time, Event)>,
+    pub(crate) errors: VecDeque<(Time, String)>,
+    pub(crate) out: VecDeque<Output>,
+}
+
+impl Course {
+    /// `seed` for all chance of this run; `process` is the number that `show info` gives as the steward's own. The
+    /// mark that joined proxies get tells this start of this steward from any other.
+    pub(crate) fn new(site: &Site, seed: u64, process: u32, now: Time) -> Course {
+        let ticket = site.ticket();
+        let mark = format!("{}:{}", site.name, crate::wire::micros(now));
+        let front = Arc::new(front(site, &mark));
+        let zone = |name: &str| site.zones.iter().position(|z| z == name).unwrap_or(0) as u16;
+        let peer = |(n, p): (usize, &pondarch_settings::site::Proxy)| {
+            Peer::new(n, &p.name, zone(&p.zone), p.usual_rate, front.clone(), now)
+        };
+        let of = &site.channel;
+        let channel = Channel::new(
+            of.lines_per_second,
+            of.lines_per_message,
+            of.most_waiting,
+            of.message_cap,
+            of.message_window.0,
+            now,
+        );
+        let load_every = site.probes.as_ref().and_then(|probes| probes.load_every).map(|every| every.0);
+        Course {
+            name: site.name.clone(),
+            kinds: site.kinds.iter().map(|kind| kind.name.clone()).collect(),
+            links: site.links.clone(),
+            load_every,
+            by_rate: ticket.admission == Admission::Rate,
+            process,
+            started: now,
+            now,
+            list: HostList::new(site.zones.clone(), ticket.cold),
+            zones: Zones::default(),
+            books: Books::default(),
+            peers: site.proxies.iter().enumerate().map(peer).collect(),
+            channel,
+            rounds: Rounds::new(site.reports.every.0, now),
+            chance: fastrand::Rng::with_seed(seed),
+            steward: Steward::open(ticket, seed, now),
+            woken_at: None,
+            loads: BTreeMap::new(),
+            met: BTreeMap::new(),
+            load_at: load_every.map(|every| now + every),
+            inputs: 0,
+            cause: String::new(),
+            events: VecDeque::new(),
+            errors: VecDeque::new(),
+            out: VecDeque::new(),
+        }
+    }
+
+    pub(crate) fn next_output(&mut self) -> Option<Output> {
+        self.out.pop_front()
+    }
+
+    /// When the next `Input::Tick` is due. What is overdue already waits for some other input, and is looked at
+    /// with each: it must not make the clock run in circles.
+    pub(crate) fn wake_at(&self) -> Time {
+        let mut at = self.rounds.wake_at();
+        let mut sooner = |other: Option<Time>| {
+            at = other.filter(|other| *other > self.now).map_or(at, |other| at.min(other));
+        };
+        sooner(self.woken_at);
+        sooner(self.load_at);
+        for peer in &self.peers {
+            sooner(peer.silent_since.map(|since| since + self.links.answer_limit.0));
+            match peer.link {
+                Link::Down(dial_at) => sooner(Some(dial_at)),
+                Link::Joined if peer.dirty.is_some() => {
+                    sooner(peer.blocked_until);
+                    sooner(peer.session.next_due());
+                }
+                _ => {}
+            }
+        }
+        at
+    }
+
+    // ---- Inputs ---------------------------------------------------------------------------------------
+
+    /// Takes one input; a line of an operator is answered by `answer`, which is given the level and the line.
+    pub(crate) fn handle(
+        &mut self,
+        now: Time,
+        input: Input,
+        answer: impl FnOnce(&mut Course, u8, &str) -> String,
+    ) {
+        self.now = now.max(self.now);
+        self.inputs += 1;
+        self.cause = format!("#{} {}", self.inputs, self.named(&input));
+        match input {
+            Input::Tick => {}
+            Input::List { version, hosts } => match self.list.file_came(self.now, version, hosts) {
+                Ok(listings) => self.list_changed(listings),
+                Err(wrong) => self.list_refused(wrong),
+            },
+            Input::ListRefused { wrong } => {
+                self.list.refused = Some(wrong.clone());
+                self.list_refused(wrong);
+            }
+            Input::Connected { proxy, conn } => self.connected(proxy, conn),
+            Input::Answer { proxy, conn, text } => self.answered(proxy, conn, &text),
+            Input::Lost { proxy, conn, why } => {
+                if self.peer(proxy, conn).is_some() {
+                    self.lost(proxy, &why);
+                }
+            }
+            Input::Probed { host, for_load, good, load } => self.probed(&host, for_load, good, load),
+            Input::Command { caller, level, line } => {
+                let text = answer(self, level, &line);
+                self.out.push_back(Output::Reply { caller, text });
+            }
+        }
+        self.timers();
+        self.settle();
+    }
+
+    fn named(&self, input: &Input) -> String {
+        let proxy = |n: u16| self.peers.get(n as usize).map_or("?", |peer| peer.name.as_str());
+        match input {
+            Input::Tick => "beat".into(),
+            Input::List { version, .. } => format!("list {}", version.map_or("-".into(), |v| v.to_string())),
+            Input::ListRefused { .. } => "list refused".into(),
+            Input::Connected { proxy: n, .. } => format!("{} connected", proxy(*n)),
+            Input::Answer { proxy: n, .. } => format!("answer of {}", proxy(*n)),
+            Input::Lost { proxy: n, .. } => format!("{} lost", proxy(*n)),
+            Input::Probed { host, .. } => format!("probe of {host}"),
+            Input::Command { line, .. } => format!("operator: {}", line.chars().take(80).collect::<String>()),
+        }
+    }
+
+    pub(crate) fn list_changed(&mut self, listings: Vec<Listing>) {
+        let count = |wanted| self.list.known.values().filter(|k| k.standing == wanted).count();
+        use pondarch::types::Standing::{Draining, Gone, Open};
+        let (open, draining, gone) = (count(Open), count(Draining), count(Gone));
+        let version = self.list.version;
+        self.tell(Event::ListTaken { version, open, draining, gone });
+        self.steward.list_came(self.now, version, true, listings);
+        for table in self.books.readdress(&self.list) {
+            self.mark_table(table);
+        }
+        self.loads.retain(|host, _| self.list.known.contains_key(host));
+        self.met.retain(|host, _| self.list.known.contains_key(host));
+    }
+
+    fn list_refused(&mut self, wrong: String) {
+        self.error(format!("hosts: {wrong}"));
+        self.tell(Event::ListRefused { wrong });
+    }
+
+    /// The peer, if this is still its connection: what comes late for an older one says nothing any more.
+    fn peer(&mut self, proxy: u16, conn: u64) -> Option<&mut Peer> {
+        let current = |peer: &&mut Peer| peer.conn == conn && !matches!(peer.link, Link::Down(_));
+        self.peers.get_mut(proxy as usize).filter(current)
+    }
+
+    fn connected(&mut self, proxy: u16, conn: u64) {
+        let now = self.now;
+        if let Some(peer) = self.peer(proxy, conn) {
+            peer.link = Link::Looking;
+            peer.silent_since = Some(now);
+            let lines = peer.session.begin();
+            self.out.push_back(Output::Write { proxy, conn, lines });
+        }
+    }
+
+    fn answered(&mut self, proxy: u16, conn: u64, text: &str) {
+        let now = self.now;
+        let Some(peer) = self.peer(proxy, conn).filter(|peer| peer.is_connected()) else { return };
+        let (told, lines) = match peer.session.answered(now, text) {
+            Ok(result) => result,
+            Err(wrong) => return self.hang_up(proxy, &wrong.to_string()),
+        };
+        peer.silent_since = (!peer.session.is_quiet() || !lines.is_empty()).then_some(now);
+        if !lines.is_empty() {
+            self.out.push_back(Output::Write { proxy, conn, lines });
+        }
+        match told {
+            None => {}
+            Some(Told::Learned { fresh }) => {
+                let peer = &mut self.peers[proxy as usize];
+                if peer.link == Link::Looking {
+                    peer.link = Link::Known { fresh };
+                } else {
+                    // It looked again after a refusal: what is still different is due.
+                    peer.mark_dirty(now, &self.cause);
+                }
+            }
+            Some(Told::Applied { took, refused }) => self.applied(proxy, took, refused),
+            Some(Told::Sums(look)) => {
+                let id = self.peers[proxy as usize].id;
+                for &(kind, many) in &look.reqs {
+                    self.steward.reqs_came(now, id, kind, many, look.over);
+                }
+                self.rounds.came(proxy, &look);
+            }
+        }
+    }
+
+    fn applied(&mut self, proxy: u16, took: Span, refused: Vec<String>) {
+        let (now, cause) = (self.now, self.cause.clone());
+        let peer = &mut self.peers[proxy as usize];
+        self.channel.cleared(std::mem::take(&mut peer.in_flight));
+        peer.failures = 0;
+        peer.last_applied = Some(took);
+        peer.refused += refused.len() as u64;
+        // There may be a second part that waited for this one.
+        peer.mark_dirty(now, &cause);
+        peer.blocked_until = None;
+        let name = peer.name.clone();
+        for wrong in refused {
+            self.error(format!("{name}: refused: {wrong}"));
+            self.tell(Event::Refused { proxy: name.clone(), wrong });
+        }
+        self.tell(Event::Applied { proxy: name, took_us: took.as_micros() });
+    }
+
+    fn hang_up(&mut self, proxy: u16, why: &str) {
+        let conn = self.peers[proxy as usize].conn;
+        self.out.push_back(Output::Hangup { proxy, conn });
+        self.lost(proxy, why);
+    }
+
+    fn lost(&mut self, proxy: u16, why: &str) {
+        let peer = &mut self.peers[proxy as usize];
+        let (joined, dialled) = (peer.is_joined(), peer.is_connected());
+        self.channel.cleared(std::mem::take(&mut peer.in_flight));
+        peer.lost(self.now, &self.links, &mut self.chance);
+        let (id, name, again) = (peer.id, peer.name.clone(), peer.failures > 1);
+        self.rounds.lost(proxy);
+        if joined {
+            self.steward.proxy_left(self.now, id);
+        }
+        // A proxy that is simply not there is told of once, not at every dial.
+        if dialled || !again {
+            self.error(format!("{name}: {why}"));
+            self.tell(Event::Left { proxy: name, why: why.to_string() });
+        }
+    }
+
+    fn probed(&mut self, host: &str, for_load: bool, good: bool, load: Option<LoadTold>) {
+        let host = HostId(host.into());
+        let load = load.map(|told| told.load());
+        if let Some(load) = load {
+            self.loads.insert(host.clone(), (self.now, load));
+        }
+        if !for_load {
+            self.steward.probe_answered(self.now, &host, good, load);
+        }
+    }
+
+    // ---- Time -----------------------------------------------------------------------------------------
+
+    fn timers(&mut self) {
+        let now = self.now;
+        if self.woken_at.take_if(|at| *at <= now).is_some() {
+            self.steward.woke(now);
+        }
+        if self.rounds.due(now) {
+            for peer in self.peers.iter_mut().filter(|peer| peer.is_joined()) {
+                let Some(line) = peer.session.read_stat() else { continue };
+                peer.silent_since = Some(now);
+                self.rounds.asked(peer.id.0);
+                let (proxy, conn) = (peer.id.0, peer.conn);
+                self.out.push_back(Output::Write { proxy, conn, lines: vec![line] });
+            }
+        }
+        if let Some(gathered) = self.rounds.closed(now) {
+            let fresh = self.load_every.map_or(Span::ZERO, |every| every.times(LOAD_PERIODS));
+            for (host, met) in gathered {
+                let load = self.loads.get(&host).filter(|(at, _)| now - *at <= fresh).map(|(_, load)| *load);
+                let met = Met { load, ..met };
+                self.steward.met(now, &host, met);
+                self.met.insert(host, met);
+            }
+        }
+        if let Some(every) = self.load_every
+            && self.load_at.is_some_and(|at| at <= now)
+        {
+            self.load_at = Some(now + every);
+            for (host, known) in &self.list.known {
+                if known.standing == pondarch::types::Standing::Open {
+                    let (host, addr) = (host.0.to_string(), known.entry.address);
+                    self.out.push_back(Output::Probe { host, addr, for_load: true });
+                }
+            }
+        }
+        let limit = self.links.answer_limit.0;
+        let silent = |peer: &Peer| peer.silent_since.is_some_and(|since| now - since >= limit);
+        let silent: Vec<u16> = self.peers.iter().filter(|p| silent(p)).map(|p| p.id.0).collect();
+        for proxy in silent {
+            self.hang_up(proxy, "left a command unanswered for too long");
+        }
+        let mut dialling = self.peers.iter().filter(|peer| peer.link == Link::Dialling).count();
+        for peer in &mut self.peers {
+            if matches!(peer.link, Link::Down(at) if at <= now) && dialling < DIALS_MOST {
+                dialling += 1;
+                peer.conn += 1;
+                peer.link = Link::Dialling;
+                self.out.push_back(Output::Dial { proxy: peer.id.0, conn: peer.conn });
+            }
+        }
+    }
+
+    pub(crate) fn tell(&mut self, event: Event) {
+        if self.events.len() == KEPT_MOST {
+            self.events.pop_front();
+        }
+        self.events.push_back((self.now, event.clone()));
+        self.out.push_back(Output::Event(event));
+    }
+
+    fn error(&mut self, text: String) {
+        if self.errors.len() == KEPT_MOST {
+            self.errors.pop_front();
+        }
+        self.errors.push_back((self.now, text));
+    }
+}
+
+fn front(site: &Site, mark: &str) -> Front {
+    let kind = |kind: &pondarch_settings::site::Kind| FrontKind {
+        name: kind.name.clone(),
+        backend: kind.backend().to_string(),
+    };
+    Front { mark: mark.to_string(), kinds: site.kinds.iter().map(kind).collect() }
+}
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -2,22 +2,26 @@
 //! same outputs byte for byte.
 //!
 //! - `wire`: the inputs and outputs, and the events that tell what led to what.
-//! - `core`: the core itself: it tells the decision module what happened and carries out what it decides.
+//! - `core`: the core as its surroundings see it.
+//! - `course`, `follow`: the decision module is told what happened, and what it decides is carried out.
 //! - `list`: the hosts as the file and the operators have them.
 //! - `books`: the tables as the module deals them, and as proxies are to hold them.
 //! - `channel`: how much may be sent, and when.
 //! - `peer`: one proxy: dialled, looked at, joined, lost.
 //! - `round`: sums of all proxies gathered into one look.
-//! - `operator`: the runtime API of the steward itself.
+//! - `operator`, `zones`: the runtime API of the steward itself, and the map that operators set.
 
 mod books;
 mod channel;
 mod core;
+mod course;
+mod follow;
 mod list;
 mod operator;
 mod peer;
 mod round;
 pub mod wire;
+mod zones;
 
 pub use crate::core::Core;
 pub use wire::{Event, Input, LoadTold, Output};
--- a/crates/steward/src/operator.rs
+++ b/crates/steward/src/operator.rs
@@ -1,7 +1,7 @@
 //! The steward's own runtime API. The backend `hosts` is the list; each table is a backend `table-<n>` that can be
 //! looked at. Changes to `hosts` are the operators' word on the list: they go through the module like the file's.
 
-use crate::core::Core;
+use crate::course::Course;
 use crate::list::Known;
 use crate::peer::Link;
 use pondarch::types::{HostId, Standing, TableId, Time};
@@ -23,7 +23,7 @@
 const DENIED: &str = "Permission denied\n";
 
 /// The answers to one line, each ended as the protocol wants it.
-pub(crate) fn answer(core: &mut Core, level: u8, line: &str) -> String {
+pub(crate) fn answer(core: &mut Course, level: u8, line: &str) -> String {
     let level = match level {
         0 => Level::User,
         1 => Level::Operator,
@@ -36,7 +36,7 @@
     commands.into_iter().map(|command| framed_answer(&one(core, level, command))).collect()
 }
 
-fn one(core: &mut Core, level: Level, command: Result<Command, CommandError>) -> String {
+fn one(core: &mut Course, level: Level, command: Result<Command, CommandError>) -> String {
     let command = match command {
         Ok(command) => command,
         Err(wrong) => return format!("{wrong}\n"),
@@ -88,6 +88,11 @@
             Some(entries) => write_map(entries.iter()),
             None => unknown_map(),
         },
+        Command::ShowMap { map, version: Some(version) } if map == ZONES => match core.zones.version(version)
+        {
+            Some(entries) => write_map(entries.iter()),
+            None => "Version not found.\n".into(),
+        },
         Command::GetMap { map, key } => match self::map(core, &map) {
             Some(entries) => match entries.get(&key) {
                 Some(value) => {
@@ -97,11 +102,30 @@
             },
             None => unknown_map(),
         },
-        Command::SetMap { map, key, value } if map == ZONES => set_zone(core, &key, &value),
-        Command::ShowMap { .. } | Command::PrepareMap { .. } | Command::CommitMap { .. } => {
-            "The steward's maps have one version: they show what it decided.\n".into()
+        Command::AddMap { map, version, key, value } if map == ZONES => put_zone(core, version, &key, &value),
+        Command::SetMap { map, key, value } if map == ZONES => match core.zones.of(&key) {
+            Some(_) => put_zone(core, None, &key, &value),
+            None => "entry not found.\n".into(),
+        },
+        Command::DelMap { map, key } if map == ZONES => match core.zones.remove(&key) {
+            true => String::new(),
+            false => "entry not found.\n".into(),
+        },
+        Command::ClearMap { map, version } if map == ZONES => said(core.zones.clear(version)),
+        Command::PrepareMap { map } if map == ZONES => {
+            format!("New version created: {}\n", core.zones.prepare())
         }
-        Command::AddMap { map, .. }
+        Command::CommitMap { map, version } if map == ZONES => {
+            let done = core.zones.commit(version);
+            if done.is_ok() {
+                rezone(core);
+            }
+            said(done)
+        }
+        Command::ShowMap { map, .. }
+        | Command::PrepareMap { map }
+        | Command::CommitMap { map, .. }
+        | Command::AddMap { map, .. }
         | Command::SetMap { map, .. }
         | Command::DelMap { map, .. }
         | Command::ClearMap { map, .. } => match self::map(core, &map) {
@@ -149,7 +173,7 @@
     }
 }
 
-fn since(core: &Core, at: Time) -> f64 {
+fn since(core: &Course, at: Time) -> f64 {
     (at - core.started).secs()
 }
 
@@ -166,7 +190,7 @@
     }
 }
 
-fn map(core: &Core, name: &str) -> Option<BTreeMap<String, String>> {
+fn map(core: &Course, name: &str) -> Option<BTreeMap<String, String>> {
     let by_kind = |value: fn(&(f64, pondarch::types::Tries)) -> String| {
         let of = |(table, book): (&TableId, &crate::books::Book)| {
             let key = |kind: usize| format!("table-{}/{}", table.0, core.kinds[kind]);
@@ -198,13 +222,15 @@
         }
         ZONES => {
             let zone = |(id, known): (&HostId, &Known)| (id.0.to_string(), known.entry.zone.clone());
-            Some(core.list.known.iter().map(zone).collect())
+            let mut zones = core.zones.entries().clone();
+            zones.extend(core.list.known.iter().map(zone));
+            Some(zones)
         }
         _ => None,
     }
 }
 
-fn info(core: &Core) -> Info {
+fn info(core: &Course) -> Info {
     let mut info = Info::default();
     let (now, list) = (core.now, &core.list);
     let open = |s: Standing| list.known.values().filter(|k| k.standing == s).count();
@@ -234,7 +260,7 @@
 }
 
 /// A row for each host of the list with what was met there lately, and one for each line of a table.
-fn rows(core: &Core) -> Vec<StatRow> {
+fn rows(core: &Course) -> Vec<StatRow> {
     let mut rows = Vec::new();
     for (id, known) in &core.list.known {
         let met = core.met.get(id).copied().unwrap_or_default();
@@ -281,7 +307,7 @@
     }
 }
 
-fn servers(core: &mut Core, backend: Option<&str>) -> Option<Vec<ServerState>> {
+fn servers(core: &mut Course, backend: Option<&str>) -> Option<Vec<ServerState>> {
     let mut servers = Vec::new();
     if backend.is_none_or(|name| name == HOSTS) {
         for (id, known) in &core.list.known {
@@ -321,7 +347,7 @@
     known.then_some(servers)
 }
 
-fn host(core: &Core, server: &ServerRef) -> Result<(HostId, Known), String> {
+fn host(core: &Course, server: &ServerRef) -> Result<(HostId, Known), String> {
     if server.backend != HOSTS {
         let table = core.books.books.keys().any(|table| server.backend == format!("table-{}", table.0));
         return Err(if table {
@@ -334,7 +360,7 @@
     core.list.known.get(&id).map(|known| (id, known.clone())).ok_or_else(|| "No such server.\n".into())
 }
 
-fn set_weight(core: &mut Core, server: &ServerRef, weight: GivenWeight) -> String {
+fn set_weight(core: &mut Course, server: &ServerRef, weight: GivenWeight) -> String {
     match (host(core, server), weight) {
         (Err(wrong), _) => wrong,
         (Ok(_), GivenWeight::Units(0)) => {
@@ -356,7 +382,7 @@
     }
 }
 
-fn set_state(core: &mut Core, server: &ServerRef, state: AdminState) -> String {
+fn set_state(core: &mut Course, server: &ServerRef, state: AdminState) -> String {
     match host(core, server) {
         Err(wrong) => wrong,
         Ok((id, _)) => {
@@ -372,8 +398,14 @@
     }
 }
 
-/// As the guide has it, a new server is in maintenance; its zone is set by the map before it is made ready.
-fn add_host(core: &mut Core, server: &ServerRef, addr: std::net::SocketAddr, weight: Option<u16>) -> String {
+/// As the guide has it, a new server is in maintenance until it is made ready. Its zone is the one the map has for
+/// it, or the site's first.
+fn add_host(
+    core: &mut Course,
+    server: &ServerRef,
+    addr: std::net::SocketAddr,
+    weight: Option<u16>,
+) -> String {
     if server.backend != HOSTS {
         return "No such backend.\n".into();
     }
@@ -388,7 +420,7 @@
     let entry = HostEntry {
         name: server.server.clone(),
         address: addr,
-        zone: core.list.zones().first().cloned().unwrap_or_default(),
+        zone: core.zones.of(&id.0).or(core.list.zones().first()).cloned().unwrap_or_default(),
         rack: String::new(),
         machine: String::new(),
         weight: f64::from(weight.unwrap_or(1).max(1)),
@@ -400,17 +432,36 @@
     "New server registered.\n".into()
 }
 
-fn set_zone(core: &mut Core, key: &str, zone: &str) -> String {
+fn said(done: Result<(), &'static str>) -> String {
+    done.err().unwrap_or_default().to_string()
+}
+
+fn put_zone(core: &mut Course, version: Option<u64>, key: &str, zone: &str) -> String {
     let id = HostId(key.into());
-    let Some(known) = core.list.known.get(&id).cloned() else { return "entry not found.\n".into() };
     if !core.list.zones().iter().any(|known| known == zone) {
         return format!("'{zone}' is none of the site's zones: {}.\n", core.list.zones().join(", "));
     }
-    if !core.list.is_added(&id) {
+    if core.list.known.contains_key(&id) && !core.list.is_added(&id) {
         return "The file names this host's zone; change it there.\n".into();
     }
-    let entry = HostEntry { zone: zone.to_string(), ..known.entry };
-    let listings = core.list.add(core.now, entry);
-    core.list_changed(listings);
-    String::new()
+    let done = core.zones.put(version, key, zone);
+    if version.is_none() && done.is_ok() {
+        rezone(core);
+    }
+    said(done)
+}
+
+/// Hosts that operators added take the zones that the map has for them now.
+fn rezone(core: &mut Course) {
+    let zone = |id: &HostId| core.zones.of(&id.0).cloned();
+    let of = core.list.known.iter().filter(|(id, _)| core.list.is_added(id));
+    let moved: Vec<HostEntry> = of
+        .filter_map(|(id, known)| Some((zone(id)?, known.entry.clone())))
+        .filter(|(zone, entry)| *zone != entry.zone)
+        .map(|(zone, entry)| HostEntry { zone, ..entry })
+        .collect();
+    for entry in moved {
+        let listings = core.list.add(core.now, entry);
+        core.list_changed(listings);
+    }
 }
--- /dev/null
+++ b/crates/steward/src/zones.rs
@@ -0,0 +1,73 @@
+//! The map of zones that operators give for hosts they add: `add server` has no word for a zone. It is set entry by
+//! entry, or swapped whole by a prepared version (management guide, `prepare map`, `add map @<ver>`, `commit map`).
+
+use std::collections::BTreeMap;
+
+/// Entries at most, of the map and of each version.
+const ENTRIES_MOST: usize = 10_000;
+/// Versions under way at most: beyond that the oldest is dropped, as nobody may ever commit it.
+const VERSIONS_MOST: usize = 8;
+
+type Entries = BTreeMap<String, String>;
+
+#[derive(Debug, Default)]
+pub(crate) struct Zones {
+    entries: Entries,
+    prepared: BTreeMap<u64, Entries>,
+    last: u64,
+}
+
+impl Zones {
+    pub(crate) fn of(&self, host: &str) -> Option<&String> {
+        self.entries.get(host)
+    }
+
+    pub(crate) fn entries(&self) -> &Entries {
+        &self.entries
+    }
+
+    pub(crate) fn version(&self, version: u64) -> Option<&Entries> {
+        self.prepared.get(&version)
+    }
+
+    pub(crate) fn prepare(&mut self) -> u64 {
+        self.last += 1;
+        self.prepared.insert(self.last, Entries::new());
+        if self.prepared.len() > VERSIONS_MOST {
+            self.prepared.pop_first();
+        }
+        self.last
+    }
+
+    /// Adds or changes an entry, of a version or of the map itself. The error is the answer.
+    pub(crate) fn put(&mut self, version: Option<u64>, host: &str, zone: &str) -> Result<(), &'static str> {
+        let entries = match version {
+            None => &mut self.entries,
+            Some(version) => self.prepared.get_mut(&version).ok_or("Version not found.\n")?,
+        };
+        if entries.len() >= ENTRIES_MOST && !entries.contains_key(host) {
+            return Err("The map is full.\n");
+        }
+        entries.insert(host.to_string(), zone.to_string());
+        Ok(())
+    }
+
+    pub(crate) fn remove(&mut self, host: &str) -> bool {
+        self.entries.remove(host).is_some()
+    }
+
+    pub(crate) fn clear(&mut self, version: Option<u64>) -> Result<(), &'static str> {
+        match version {
+            None => self.entries.clear(),
+            Some(version) => self.prepared.get_mut(&version).ok_or("Version not found.\n")?.clear(),
+        }
+        Ok(())
+    }
+
+    /// A version becomes the map; older ones under way can't be committed any more.
+    pub(crate) fn commit(&mut self, version: u64) -> Result<(), &'static str> {
+        self.entries = self.prepared.remove(&version).ok_or("Version not found.\n")?;
+        self.prepared.retain(|other, _| *other > version);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/examples/cartons.hosts.jsonnet
@@ -0,0 +1,2 @@
+local parts = import 'parts.libsonnet';
+{ version: 1, hosts: parts.hosts(['zaal-a', 'zaal-b', 'zaal-c'], 0, 13, 3) }
