Rules of the obeying proxy: versions, picks, keeping away, further tries, limits, without I/O

The stand-ins' tables became its holding.

The steward stamps each batch with its version, and tells a drained host's line from one that merely left: drain, not maint.

--- a/crates/proxy-front/src/order.rs
+++ b/crates/proxy-front/src/order.rs
@@ -5,7 +5,7 @@
 //! kind with nothing but lines that the proxy has not acknowledged yet waits for the next batch. Wherever the
 //! batch ends, each line is as before or as wanted, and a kind that had a host to pick has one.
 
-use crate::table::{Front, Held, HeldLine, LEVELS, MARK, STATE, TRIES, Wanted, WantedLine};
+use crate::table::{Front, Held, HeldLine, LEVELS, MARK, STATE, TABLE, TRIES, Wanted, WantedLine};
 use pondarch::types::{HostId, KindId};
 use pondarch_runtime_api::command::GivenWeight;
 use pondarch_runtime_api::{AdminState, Command, ServerRef};
@@ -72,7 +72,7 @@
 
     /// Whether it takes a host out of use.
     pub fn is_away(&self) -> bool {
-        matches!(self, Effect::Line(_, _, HeldLine { state: AdminState::Maint, .. }))
+        matches!(self, Effect::Line(_, _, HeldLine { state: AdminState::Maint | AdminState::Drain, .. }))
     }
 }
 
@@ -98,6 +98,18 @@
     }
 }
 
+impl Batch {
+    /// Puts the version first: a proxy that knows versions takes what follows as of that one, or refuses it whole.
+    pub fn stamp(&mut self, held: &Held, version: String) {
+        let (map, key) = (STATE.to_string(), TABLE.to_string());
+        let command = match held.state.contains_key(TABLE) {
+            true => Command::SetMap { map, key, value: version.clone() },
+            false => Command::AddMap { map, version: None, key, value: version.clone() },
+        };
+        self.steps.insert(0, Step { command, effect: Effect::State(TABLE.into(), version) });
+    }
+}
+
 /// The difference as one batch. `must_go` tells of a host that no proxy may use any more; `joining` adds the mark.
 pub fn difference(
     front: &Front,
@@ -127,12 +139,15 @@
         let stays = |(host, line): &(&HostId, &HeldLine)| line.serves() && lines.contains_key(*host);
         let safe = held_here.iter().any(stays);
         for (host, line) in held_here.iter().filter(|(host, _)| !lines.contains_key(*host)) {
-            if line.state == AdminState::Maint {
-                parts.dead.push((kind, (*host).clone(), server(host)));
+            // Drained, a proxy does not fall back on it either; merely out of the table, it may as a last resort.
+            let state = if must_go(host) { AdminState::Drain } else { AdminState::Maint };
+            let last_resort =
+                line.state == AdminState::Maint && lines.is_empty() && state == AdminState::Drain;
+            if line.state != AdminState::Ready && !last_resort {
+                parts.dead.push((kind, (*host).clone(), server(host), **line));
             } else if asked_lately(host) {
                 continue;
             } else if safe || lines.is_empty() {
-                let state = AdminState::Maint;
                 let effect = Effect::Line(kind, (*host).clone(), HeldLine { state, ..**line });
                 parts.away.push(Step { command: Command::SetState(server(host), state), effect });
             } else {
@@ -156,10 +171,14 @@
     steps.extend(maps);
     if !steps.is_empty() || dead.len() > 4 * DELETED_MOST {
         dead.truncate(DELETED_MOST);
-        steps.extend(dead.into_iter().map(|(kind, host, server)| Step {
-            command: Command::DelServer(server),
-            effect: Effect::Deleted(kind, host),
-        }));
+        for (kind, host, server, line) in dead {
+            if line.state != AdminState::Maint {
+                let state = AdminState::Maint;
+                let effect = Effect::Line(kind, host.clone(), HeldLine { state, ..line });
+                steps.push(Step { command: Command::SetState(server.clone(), state), effect });
+            }
+            steps.push(Step { command: Command::DelServer(server), effect: Effect::Deleted(kind, host) });
+        }
     }
     Batch { steps, urgency, more }
 }
@@ -171,7 +190,7 @@
     heavier: Vec<Step>,
     away: Vec<Step>,
     maps: Vec<Step>,
-    dead: Vec<(KindId, HostId, ServerRef)>,
+    dead: Vec<(KindId, HostId, ServerRef, HeldLine)>,
     more: bool,
 }
 
--- a/crates/proxy-front/src/session.rs
+++ b/crates/proxy-front/src/session.rs
@@ -74,6 +74,8 @@
     learned: bool,
     process: u64,
     joining: bool,
+    /// Batches so far; it goes on over connections, as versions must rise.
+    batches: u64,
 }
 
 impl Session {
@@ -89,6 +91,7 @@
             learned: false,
             process: 0,
             joining: false,
+            batches: 0,
         }
     }
 
@@ -154,7 +157,9 @@
     }
 
     /// Takes a batch that is written now. Gives its lines.
-    pub fn order(&mut self, now: Time, batch: Batch) -> Vec<String> {
+    pub fn order(&mut self, now: Time, mut batch: Batch) -> Vec<String> {
+        self.batches += 1;
+        batch.stamp(&self.held, format!("{}/{}", self.front.mark, self.batches));
         let lines = batch.lines(LINE_MOST);
         self.joining &= batch.urgency < Urgency::Join;
         self.batch_since = Some(now);
--- a/crates/proxy-front/src/table.rs
+++ b/crates/proxy-front/src/table.rs
@@ -25,9 +25,11 @@
 pub const LEVELS: &str = "pond_levels";
 /// Map of when a proxy tries another host, by kind: `never`, `unsent`, `failure`, `failure-twice`.
 pub const TRIES: &str = "pond_tries";
-/// Map with the mark of the steward that joined the proxy, under `steward`.
+/// Map with the mark of the steward that joined the proxy, under `steward`, and the version of the last batch, the
+/// mark and a number that rises, under `table`.
 pub const STATE: &str = "pond_state";
 pub const MARK: &str = "steward";
+pub const TABLE: &str = "table";
 
 /// One line as it should be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/rehearsal/src/tables.rs
+++ b/crates/proxy-rules/src/holding.rs
@@ -1,13 +1,20 @@
-//! What a stand-in proxy holds, and how it answers the runtime API. No I/O: a command goes in, an answer comes out.
+//! What a proxy holds, and how it answers the runtime API: a command goes in, an answer comes out. Who may send orders
+//! is checked before, in `orders`.
 
 use pondarch_runtime_api::command::GivenWeight;
 use pondarch_runtime_api::info::{Info, write_map};
 use pondarch_runtime_api::stat::{self, RowType, StatRow, Sums};
 use pondarch_runtime_api::state::{self, ServerState};
 use pondarch_runtime_api::{AdminState, Command, Level, ServerRef, command};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+use crate::table::LINES_MOST;
+
+/// Entries of a map, and versions under way, at most.
+const ENTRIES_MOST: usize = 10_000;
+const VERSIONS_MOST: usize = 16;
+
 /// One server of a backend.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Server {
@@ -28,15 +35,18 @@
 
 /// All of a proxy's state that the runtime API shows or sets.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Tables {
+pub struct Holding {
     pub name: String,
     pub process: u64,
     pub started_s: u64,
     pub backends: BTreeMap<String, Backend>,
     pub maps: BTreeMap<String, BTreeMap<String, String>>,
+    /// What `show info` tells beside the above, as whoever holds this keeps it.
+    pub told: Vec<(&'static str, String)>,
     /// Versions under way: map, number, entries.
     prepared: BTreeMap<(String, u64), BTreeMap<String, String>>,
     next_version: u64,
+    changed: BTreeSet<String>,
 }
 
 impl Server {
@@ -49,10 +59,10 @@
     }
 }
 
-impl Tables {
+impl Holding {
     /// A proxy with one backend for each kind, and the maps that stewards use, empty.
-    pub fn new(name: &str, process: u64, kinds: &[&str]) -> Tables {
-        Tables {
+    pub fn new(name: &str, process: u64, kinds: &[&str]) -> Holding {
+        Holding {
             name: name.to_string(),
             process,
             started_s: 1_700_000_000 + process,
@@ -60,7 +70,7 @@
             maps: ["pond_levels", "pond_tries", "pond_state"]
                 .map(|m| (m.to_string(), BTreeMap::new()))
                 .into(),
-            ..Tables::default()
+            ..Holding::default()
         }
     }
 
@@ -86,16 +96,36 @@
         commands.into_iter().map(answer).collect()
     }
 
+    /// The backends whose lines may have changed since the last call.
+    pub fn take_changed(&mut self) -> BTreeSet<String> {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// The entries of a version of a map that is under way.
+    pub fn prepared(&self, map: &str, version: u64) -> Option<&BTreeMap<String, String>> {
+        self.prepared.get(&(map.to_string(), version))
+    }
+
     pub fn command(&mut self, command: Command) -> String {
+        match &command {
+            Command::SetWeight(server, _) | Command::SetState(server, _) | Command::SetAddr(server, ..) => {
+                self.changed.insert(server.backend.clone());
+            }
+            Command::AddServer { server, .. } | Command::DelServer(server) => {
+                self.changed.insert(server.backend.clone());
+            }
+            _ => {}
+        }
         match command {
             Command::Prompt(_) | Command::Quit => String::new(),
             Command::Help => command::HELP.into(),
             Command::ShowInfo { .. } => {
                 let mut info = Info::default();
-                info.put("Name", "stand-in");
+                info.put("Name", "pondarch-proxy");
                 info.put("Node", &self.name);
                 info.put("Pid", self.process);
                 info.put("Start_time_sec", self.started_s);
+                self.told.iter().for_each(|(name, value)| info.put(name, value));
                 info.write()
             }
             Command::ShowStat { json: false } => stat::write(&self.rows()),
@@ -118,12 +148,16 @@
             }),
             Command::AddMap { map, version: Some(version), key, value } => {
                 match self.prepared.get_mut(&(map, version)) {
+                    Some(entries) if entries.len() >= ENTRIES_MOST => return "The map is full.\n".into(),
                     Some(entries) => drop(entries.insert(key, value)),
                     None => return "Version not found.\n".into(),
                 }
                 String::new()
             }
             Command::AddMap { map, version: None, key, value } => self.on_map(&map, |m| {
+                if m.len() >= ENTRIES_MOST && !m.contains_key(&key) {
+                    return "The map is full.\n".into();
+                }
                 m.insert(key, value);
                 String::new()
             }),
@@ -152,6 +186,11 @@
                 }
                 self.next_version += 1;
                 self.prepared.insert((map, self.next_version), BTreeMap::new());
+                if self.prepared.len() > VERSIONS_MOST {
+                    // Nobody may ever commit the oldest.
+                    let oldest = self.prepared.keys().min_by_key(|(_, version)| *version).cloned();
+                    oldest.into_iter().for_each(|oldest| drop(self.prepared.remove(&oldest)));
+                }
                 format!("New version created: {}\n", self.next_version)
             }
             Command::CommitMap { map, version } => match self.prepared.remove(&(map.clone(), version)) {
@@ -186,6 +225,9 @@
                 let Some(backend) = self.backends.get_mut(&server.backend) else {
                     return "No such backend.\n".into();
                 };
+                if backend.servers.len() >= LINES_MOST {
+                    return "The backend is full.\n".into();
+                }
                 if backend.servers.contains_key(&server.server) {
                     return "Already exists a server with the same name in the backend.\n".into();
                 }
@@ -255,7 +297,12 @@
                     server: server.clone(),
                     current: s.current,
                     total: s.total,
-                    status: if s.serves() { "UP" } else { "MAINT" }.into(),
+                    status: match s.state {
+                        AdminState::Ready => "UP",
+                        AdminState::Drain => "DRAIN",
+                        AdminState::Maint => "MAINT",
+                    }
+                    .into(),
                     weight: u64::from(s.weight),
                     addr: s.addr.to_string(),
                     mean,
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -1,7 +1,6 @@
 //! Stand-in hosts, proxies and clients on loopback, a scripted bad day, and checks of the rules from what crossed
 //! the sockets. Stewards run as processes of their own.
 //!
-//! - `tables`: what a stand-in proxy holds and how it answers the runtime API; no I/O.
 //! - `proxy`, `host`, `client`: the stand-ins.
 //! - `facts`: what they saw, in one list.
 //! - `rules`: the five rules, checked on that list.
@@ -18,4 +17,3 @@
 pub mod service;
 pub mod site;
 pub mod storm;
-pub mod tables;
--- a/crates/rehearsal/src/proxy.rs
+++ b/crates/rehearsal/src/proxy.rs
@@ -3,7 +3,6 @@
 
 use crate::facts::{Fact, Facts, How};
 use crate::host::NEVER_RAN;
-use crate::tables::{Server, Tables};
 use futures_util::{SinkExt, StreamExt};
 use http_body_util::Empty;
 use hyper::Request;
@@ -11,6 +10,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use pondarch_proxy_rules::holding::{Holding, Server};
 use pondarch_runtime_api::codec::framed_answer;
 use pondarch_runtime_api::{AdminState, Command, ServerCodec, ServerFrame, command};
 use std::collections::BTreeMap;
@@ -51,7 +51,7 @@
 }
 
 struct State {
-    tables: Tables,
+    tables: Holding,
     shunned: BTreeMap<String, (u32, Option<Instant>)>,
     chance: fastrand::Rng,
 }
@@ -81,7 +81,7 @@
         seed: u64,
         facts: Facts,
     ) -> std::io::Result<Proxy> {
-        let mut tables = Tables::new(name, process, kinds);
+        let mut tables = Holding::new(name, process, kinds);
         for backend in tables.backends.values_mut() {
             let server = |(host, addr): &(String, SocketAddr)| {
                 (host.clone(), Server::new(*addr, 100, AdminState::Ready))
@@ -114,7 +114,7 @@
         &self.inner.faults
     }
 
-    pub fn tables(&self) -> Tables {
+    pub fn tables(&self) -> Holding {
         self.inner.state().tables.clone()
     }
 
@@ -194,7 +194,7 @@
 
     /// Carries a line out; `None`: the connection breaks here.
     fn line(&self, line: &str, commands: &[Command]) -> Option<Vec<String>> {
-        let orders = commands.iter().filter(|command| Tables::is_order(command)).count();
+        let orders = commands.iter().filter(|command| Holding::is_order(command)).count();
         if orders == 0 {
             return Some(self.state().tables.line(line));
         }
--- a/crates/steward/src/follow.rs
+++ b/crates/steward/src/follow.rs
@@ -143,9 +143,10 @@
         let mut full = false;
         for (urgency, _, n, batch) in due {
             let peer = &mut self.peers[n];
-            match self.channel.room(now, &mut peer.mail, batch.steps.len(), urgency) {
+            match self.channel.room(now, &mut peer.mail, batch.steps.len() + 1, urgency) {
                 Room::Now if !full || urgency == Urgency::Drain => {
-                    let commands = batch.steps.len();
+                    // The version is one more.
+                    let commands = batch.steps.len() + 1;
                     peer.in_flight = self.channel.wrote(now, &mut peer.mail, commands);
                     peer.silent_since = Some(now);
                     peer.blocked_until = None;
--- a/crates/steward/tests/in_memory/hard_cases.rs
+++ b/crates/steward/tests/in_memory/hard_cases.rs
@@ -160,7 +160,7 @@
     let mut town = settled(1, 8);
     town.traffic(0, 40, 2, 100);
     town.run(2_000);
-    let fresh = pondarch_rehearsal::tables::Tables::new("front-0", 999, &KINDS);
+    let fresh = pondarch_proxy_rules::holding::Holding::new("front-0", 999, &KINDS);
     town.fronts[0].tables = fresh;
     town.drop_link(0);
     town.run(1_000);
@@ -206,7 +206,7 @@
     for backend in town.fronts[0].tables.backends.values_mut() {
         backend.servers.clear();
         let server =
-            pondarch_rehearsal::tables::Server::new(addr(99), 50, pondarch_runtime_api::AdminState::Ready);
+            pondarch_proxy_rules::holding::Server::new(addr(99), 50, pondarch_runtime_api::AdminState::Ready);
         backend.servers.insert("elsewhere".into(), server);
     }
     town.fronts[0].fault = Fault::RefuseAdds;
--- a/crates/steward/tests/in_memory/town.rs
+++ b/crates/steward/tests/in_memory/town.rs
@@ -2,7 +2,7 @@
 //! queue here, and can be cut, held up or doubled.
 
 use pondarch::types::Time;
-use pondarch_rehearsal::tables::{Server, Tables};
+use pondarch_proxy_rules::holding::{Holding, Server};
 use pondarch_runtime_api::{AdminState, Command, command};
 use pondarch_settings::hosts::{HostEntry, HostState};
 use pondarch_settings::{Length, Site, site};
@@ -29,7 +29,7 @@
 }
 
 pub struct Front {
-    pub tables: Tables,
+    pub tables: Holding,
     pub up: bool,
     pub conn: Option<u64>,
     pub fault: Fault,
@@ -112,7 +112,7 @@
 impl Town {
     pub fn open(site: &Site, hosts: usize) -> Town {
         let front = |(n, proxy): (usize, &site::Proxy)| {
-            let mut tables = Tables::new(&proxy.name, 100 + n as u64, &KINDS);
+            let mut tables = Holding::new(&proxy.name, 100 + n as u64, &KINDS);
             // Standing tables: two hosts each.
             for backend in tables.backends.values_mut() {
                 for h in [n % hosts.max(1), (n + 1) % hosts.max(1)] {
@@ -196,7 +196,7 @@
             }
             let proxy = n as u16;
             let commands: Vec<Command> = command::parse_line(&line).into_iter().flatten().collect();
-            let orders = commands.iter().any(Tables::is_order);
+            let orders = commands.iter().any(Holding::is_order);
             if orders {
                 front.orders.push((self.now, commands.iter().map(Command::to_string).collect()));
             }
