--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -7,7 +7,7 @@
 mod rehearse;
 
 use clap::{Parser, Subcommand, ValueEnum};
-use pondarch_settings::{Endpoint, read_hosts, read_site};
+use pondarch_settings::{Endpoint, read_hosts, read_proxy, read_site};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -50,8 +50,15 @@
         #[arg(long)]
         record: Option<PathBuf>,
     },
+    /// Runs an obeying proxy until SIGTERM or SIGINT; SIGHUP reads the settings anew.
+    Proxy { settings: PathBuf },
     /// Checks settings and the list they name; starts nothing.
-    Check { settings: PathBuf },
+    Check {
+        settings: PathBuf,
+        /// The settings are a proxy's.
+        #[arg(long)]
+        proxy: bool,
+    },
     /// Sends runtime commands to a socket and prints the answers.
     Ctl {
         /// `unix:PATH` or `IP:PORT`.
@@ -76,7 +83,11 @@
     runtime.block_on(async {
         match args.what {
             What::Run { settings, seed, record } => run(settings, seed, record).await,
-            What::Check { settings } => check(settings),
+            What::Proxy { settings } => match pondarch_proxy::run(&settings).await {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(wrong) => failed(&wrong.to_string()),
+            },
+            What::Check { settings, proxy } => check(settings, proxy),
             What::Ctl { socket, command } => ctl::ctl(&socket, &command).await,
             What::Rehearse { scene } => rehearse::rehearse(scene).await,
         }
@@ -100,18 +111,22 @@
     }
 }
 
-fn check(settings: PathBuf) -> ExitCode {
-    let site = match read_site(&settings) {
-        Ok(site) => site,
-        Err(wrong) => return failed(&wrong.to_string()),
-    };
-    match read_hosts(&site.hosts_file, &site.zones) {
-        Ok(list) => {
+fn check(settings: PathBuf, proxy: bool) -> ExitCode {
+    let checked = if proxy {
+        read_proxy(&settings).and_then(|site| {
+            let list = read_hosts(&site.hosts_file, &site.zones)?;
+            Ok(format!("{} request kinds, {} hosts", site.kinds.len(), list.hosts.len()))
+        })
+    } else {
+        read_site(&settings).and_then(|site| {
+            let list = read_hosts(&site.hosts_file, &site.zones)?;
             let (kinds, proxies, hosts) = (site.kinds.len(), site.proxies.len(), list.hosts.len());
-            println!(
-                "{}: {kinds} request kinds, {proxies} proxies, {hosts} hosts: in order",
-                settings.display()
-            );
+            Ok(format!("{kinds} request kinds, {proxies} proxies, {hosts} hosts"))
+        })
+    };
+    match checked {
+        Ok(found) => {
+            println!("{}: {found}: in order", settings.display());
             ExitCode::SUCCESS
         }
         Err(wrong) => failed(&wrong.to_string()),
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,14 +1,13 @@
 //! The loop that feeds the core and carries out what it gives.
 
 use crate::clock::Clock;
+use crate::desk::Callers;
 use crate::dial::Connection;
-use crate::listen::{Callers, serve};
 use crate::probe::Prober;
-use crate::socket::Listener;
 use crate::{hosts_file, log};
 use pondarch::types::Time;
-use pondarch_settings::site::ListenerLevel;
 use pondarch_settings::{Endpoint, Site};
+use pondarch_sockets::{Listener, serve};
 use pondarch_steward::{Core, Input, Output, wire};
 use std::collections::BTreeMap;
 use std::fs::File;
@@ -52,17 +51,12 @@
     let seed = options.seed.unwrap_or(wire::micros(now));
     let mut record = options.record.map(Record::open).transpose()?;
     let (inputs, mut queue) = mpsc::channel(INPUTS_MOST);
-    let callers = Callers::default();
+    let callers = Callers::new(inputs.clone());
     let mut tasks = JoinSet::new();
     for of in &site.runtime_api {
         let listen = |wrong| DaemonError::Listen { at: of.listen.clone(), wrong };
         let listener = Listener::bind(&of.listen).await.map_err(listen)?;
-        let level = match of.level {
-            ListenerLevel::User => 0,
-            ListenerLevel::Operator => 1,
-            ListenerLevel::Admin => 2,
-        };
-        tasks.spawn(serve(listener, level, callers.clone(), inputs.clone()));
+        tasks.spawn(serve(listener, of.level.into(), callers.clone()));
     }
     tasks.spawn(hosts_file::follow(site.hosts_file.clone(), site.zones.clone(), inputs.clone()));
     let mut term = signal(SignalKind::terminate()).map_err(DaemonError::Signals)?;
@@ -141,7 +135,7 @@
                     prober.ask(host, addr, for_load);
                 }
             }
-            Output::Reply { caller, text } => self.callers.answer(caller, text),
+            Output::Reply { caller, text } => self.callers.reply(caller, text),
             Output::Event(event) => log::event(&event),
         }
     }
--- a/crates/daemon/src/dial.rs
+++ b/crates/daemon/src/dial.rs
@@ -1,10 +1,10 @@
 //! The connections to proxies' runtime sockets: each one a task, owned by the daemon and ended with its entry.
 
-use crate::socket::Stream;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
 use pondarch_runtime_api::ClientCodec;
 use pondarch_settings::Endpoint;
+use pondarch_sockets::Stream;
 use pondarch_steward::Input;
 use std::time::Duration;
 use tokio::sync::mpsc;
--- a/crates/proxy-rules/src/obey.rs
+++ b/crates/proxy-rules/src/obey.rs
@@ -10,11 +10,15 @@
 use crate::tries::{Budget, Course, Mode, Next, Outcome, Repeats, next};
 use fastrand::Rng;
 use pondarch::types::{Span, Time};
-use pondarch_runtime_api::AdminState;
+use pondarch_runtime_api::{AdminState, Level as AccessLevel};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+/// Part of the client timeout after which the proxy gives up: a final answer is due before the client's patience ends,
+/// and a host that answers nothing must be seen to fail before clients leave.
+const ANSWER_PART: f64 = 0.95;
+
 /// What is known of a request kind.
 #[derive(Clone, Debug)]
 pub struct Kind {
@@ -136,9 +140,9 @@
     // ---- Orders ---------------------------------------------------------------------------------------
 
     /// The answers to one line of the runtime API. Tables are swapped once, after the whole line.
-    pub fn line(&mut self, now: Time, connection: u64, text: &str) -> Vec<String> {
+    pub fn line(&mut self, now: Time, connection: u64, level: AccessLevel, text: &str) -> Vec<String> {
         self.tell(now);
-        let answers = self.orders.line(now, connection, text, &mut self.holding);
+        let answers = self.orders.line(now, connection, level, text, &mut self.holding);
         for backend in self.holding.take_changed() {
             if let Some(kind) = self.kind(&backend) {
                 self.swap(now, kind);
@@ -213,7 +217,7 @@
             mode,
             repeats: of.repeats,
             first_sent: now,
-            gives_up: now + of.client_timeout,
+            gives_up: now + of.client_timeout.times(ANSWER_PART),
             tries: 0,
             may_have_run: false,
             group: None,
@@ -283,14 +287,24 @@
         if next != Next::Stop && !self.budget.take() { Next::Stop } else { next }
     }
 
-    /// A try is over, also one whose client has gone.
-    pub fn left(&mut self, now: Time, arrival: &Arrival, line: &Line, outcome: Outcome, took: Span) {
-        if let Some(count) = self.out.get_mut(&line.host) {
+    /// A try whose client has gone, before anything could be said of the host.
+    pub fn abandoned(&mut self, arrival: &Arrival, line: &Line) {
+        self.back(&line.host);
+        self.on_server(arrival.kind, &line.host, |server| server.current = server.current.saturating_sub(1));
+    }
+
+    fn back(&mut self, host: &str) {
+        if let Some(count) = self.out.get_mut(host) {
             *count = count.saturating_sub(1);
             if *count == 0 {
-                self.out.remove(&line.host);
+                self.out.remove(host);
             }
         }
+    }
+
+    /// A try is over, and nothing is to follow.
+    pub fn left(&mut self, now: Time, arrival: &Arrival, line: &Line, outcome: Outcome, took: Span) {
+        self.back(&line.host);
         let good = outcome == Outcome::Done;
         self.on_server(arrival.kind, &line.host, |server| {
             server.current = server.current.saturating_sub(1);
--- a/crates/proxy-rules/src/orders.rs
+++ b/crates/proxy-rules/src/orders.rs
@@ -11,8 +11,8 @@
 use crate::holding::Holding;
 use crate::version::{Holder, Version};
 use pondarch::types::{Span, Time};
-use pondarch_runtime_api::Command;
 use pondarch_runtime_api::command::parse_line;
+use pondarch_runtime_api::{Command, Level};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The map and the key that hold the version.
@@ -50,7 +50,14 @@
     }
 
     /// The answers to one line, one for each command.
-    pub fn line(&mut self, now: Time, connection: u64, text: &str, holding: &mut Holding) -> Vec<String> {
+    pub fn line(
+        &mut self,
+        now: Time,
+        connection: u64,
+        level: Level,
+        text: &str,
+        holding: &mut Holding,
+    ) -> Vec<String> {
         // Begun and never finished: dropped, whoever speaks next.
         self.staged.retain(|_, staged| now - staged.since < STAGED_FOR);
         let commands = parse_line(text);
@@ -60,6 +67,7 @@
         let mut answers = Vec::with_capacity(commands.len());
         for command in commands {
             answers.push(match command {
+                Ok(command) if command.level() > level => "Permission denied\n".into(),
                 Ok(command) => self.command(now, connection, command, holding),
                 Err(wrong) => format!("{wrong}\n"),
             });
@@ -190,7 +198,7 @@
         }
 
         fn say(&mut self, ms: u64, connection: u64, line: &str) -> String {
-            self.orders.line(at(ms), connection, line, &mut self.holding).concat()
+            self.orders.line(at(ms), connection, Level::Admin, line, &mut self.holding).concat()
         }
 
         fn hosts(&self) -> Vec<&str> {
--- /dev/null
+++ b/crates/proxy/src/desk.rs
@@ -0,0 +1,29 @@
+//! The runtime API of the proxy.
+
+use crate::shared::Together;
+use pondarch_runtime_api::Level;
+use pondarch_runtime_api::codec::framed_answer;
+use pondarch_sockets::Desk;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+
+#[derive(Clone)]
+pub(crate) struct ProxyDesk {
+    pub(crate) shared: Together,
+    pub(crate) connections: Arc<AtomicU64>,
+}
+
+impl Desk for ProxyDesk {
+    fn opened(&self) -> u64 {
+        self.connections.fetch_add(1, Relaxed) + 1
+    }
+
+    fn closed(&self, connection: u64) {
+        self.shared.obey().closed(connection);
+    }
+
+    async fn answer(&self, connection: u64, level: Level, line: String) -> Option<String> {
+        let answers = self.shared.obey().line(self.shared.now(), connection, level, &line);
+        Some(answers.iter().map(|answer| framed_answer(answer)).collect())
+    }
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,1 +1,18 @@
+//! The obeying proxy: a small HTTP/1.1 reverse proxy that does what its tables say. It decides nothing that is not in
+//! `pondarch-proxy-rules`.
+//!
+//! - `run`: start, reload, drain, end.
+//! - `shared`: what all parts of a running proxy share: the rules under a lock, the clock, reqs that wait.
+//! - `carry`: one req on its way to a host and back.
+//! - `body`: bodies that are kept for another try, and answers that are counted when they end.
+//! - `guard`: refuses heads whose length can be read in two ways.
+//! - `desk`: the runtime API.
 
+mod body;
+mod carry;
+mod desk;
+mod guard;
+mod run;
+mod shared;
+
+pub use run::{ProxyError, Running, run, start};
--- a/crates/settings/src/site.rs
+++ b/crates/settings/src/site.rs
@@ -4,6 +4,7 @@
 use crate::jsonnet::{self, SettingsError};
 use crate::units::{Endpoint, Length};
 use pondarch::types::{Admission, JobTicket, KindTicket, Tries};
+use pondarch_runtime_api::Level;
 use serde::Deserialize;
 use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
@@ -158,6 +159,16 @@
     Admin,
 }
 
+impl From<ListenerLevel> for Level {
+    fn from(level: ListenerLevel) -> Level {
+        match level {
+            ListenerLevel::User => Level::User,
+            ListenerLevel::Operator => Level::Operator,
+            ListenerLevel::Admin => Level::Admin,
+        }
+    }
+}
+
 impl Default for Reports {
     fn default() -> Reports {
         Reports { every: Length::millis(1_000) }
@@ -318,7 +329,12 @@
     }
 }
 
-fn span_within(key: &str, value: Length, least_ms: u64, most_ms: u64) -> Result<(), (String, String)> {
+pub(crate) fn span_within(
+    key: &str,
+    value: Length,
+    least_ms: u64,
+    most_ms: u64,
+) -> Result<(), (String, String)> {
     let (least, most) = (Length::millis(least_ms), Length::millis(most_ms));
     match value {
         value if (least..=most).contains(&value) => Ok(()),
@@ -326,7 +342,7 @@
     }
 }
 
-fn names<'a>(key: &str, names: impl Iterator<Item = &'a str>) -> Result<(), (String, String)> {
+pub(crate) fn names<'a>(key: &str, names: impl Iterator<Item = &'a str>) -> Result<(), (String, String)> {
     let mut seen = BTreeSet::new();
     for (n, name) in names.enumerate() {
         let wrong = match bad_name(name) {
--- a/crates/daemon/src/listen.rs
+++ b/crates/sockets/src/listen.rs
@@ -1,14 +1,12 @@
-//! The sockets where operators reach the steward.
+//! The server end of the runtime API: accepts, reads lines, keeps to the mode of each connection.
 
 use crate::socket::{Listener, Stream};
 use futures_util::{SinkExt, StreamExt};
 use pondarch_runtime_api::codec::framed_answer;
-use pondarch_runtime_api::{CodecError, Command, PromptMode, ServerCodec, ServerFrame, command};
-use pondarch_steward::Input;
-use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex, PoisonError};
+use pondarch_runtime_api::{CodecError, Command, Level, PromptMode, ServerCodec, ServerFrame, command};
+use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::sync::Semaphore;
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
 
@@ -20,37 +18,23 @@
 /// Writing an answer must not take longer than this: a peer that does not read is cut off.
 const WRITE_LIMIT: Duration = Duration::from_secs(5);
 
-/// Operators that wait for an answer of the core.
-#[derive(Clone, Default)]
-pub(crate) struct Callers(Arc<Mutex<Waiting>>);
+/// Whoever answers what comes by these connections. Each connection has a number of its own, rising as they open.
+pub trait Desk: Clone + Send + Sync + 'static {
+    fn opened(&self) -> u64;
 
-#[derive(Default)]
-struct Waiting {
-    next: u64,
-    answers: BTreeMap<u64, oneshot::Sender<String>>,
-}
-
-impl Callers {
-    fn enter(&self) -> (u64, oneshot::Receiver<String>) {
-        let (answer, waits) = oneshot::channel();
-        let mut waiting = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        waiting.next += 1;
-        let caller = waiting.next;
-        waiting.answers.insert(caller, answer);
-        (caller, waits)
-    }
+    fn closed(&self, connection: u64);
 
-    /// Passes the core's answer on; a caller that has gone does not mind.
-    pub(crate) fn answer(&self, caller: u64, text: String) {
-        let waiting = self.0.lock().unwrap_or_else(PoisonError::into_inner).answers.remove(&caller);
-        if let Some(answer) = waiting {
-            answer.send(text).ok();
-        }
-    }
+    /// The answers to one line, as they are to be written; none: the connection ends.
+    fn answer(
+        &self,
+        connection: u64,
+        level: Level,
+        line: String,
+    ) -> impl Future<Output = Option<String>> + Send;
 }
 
 /// Accepts until it is dropped.
-pub(crate) async fn serve(listener: Listener, level: u8, callers: Callers, inputs: mpsc::Sender<Input>) {
+pub async fn serve(listener: Listener, level: Level, desk: impl Desk) {
     let places = Arc::new(Semaphore::new(CONNECTIONS_MOST));
     let mut connections = tokio::task::JoinSet::new();
     loop {
@@ -64,21 +48,29 @@
             tokio::time::sleep(Duration::from_millis(100)).await;
             continue;
         };
-        let (callers, inputs) = (callers.clone(), inputs.clone());
+        let desk = desk.clone();
         connections.spawn(async move {
             let _place = place;
+            let connection = Open { number: desk.opened(), desk };
             // A connection that breaks ends; there is nobody left to tell.
-            talk(stream, level, callers, inputs).await.ok();
+            talk(stream, level, &connection).await.ok();
         });
     }
 }
 
-async fn talk(
-    stream: Stream,
-    level: u8,
-    callers: Callers,
-    inputs: mpsc::Sender<Input>,
-) -> Result<(), CodecError> {
+/// An open connection; its desk is told of its end, however it ends.
+struct Open<D: Desk> {
+    number: u64,
+    desk: D,
+}
+
+impl<D: Desk> Drop for Open<D> {
+    fn drop(&mut self) {
+        self.desk.closed(self.number);
+    }
+}
+
+async fn talk(stream: Stream, level: Level, of: &Open<impl Desk>) -> Result<(), CodecError> {
     let mut wire = Framed::new(stream, ServerCodec::default());
     let mut mode = PromptMode::Closing;
     loop {
@@ -101,13 +93,9 @@
                         _ => {}
                     }
                 }
-                let (caller, answer) = callers.enter();
-                if inputs.send(Input::Command { caller, level, line }).await.is_err() {
-                    return Ok(());
-                }
-                match answer.await {
-                    Ok(text) => text,
-                    Err(_) => return Ok(()),
+                match of.desk.answer(of.number, level, line).await {
+                    Some(text) => text,
+                    None => return Ok(()),
                 }
             }
         };
