--- a/crates/rehearsal/src/bad_day.rs
+++ b/crates/rehearsal/src/bad_day.rs
@@ -25,6 +25,8 @@
     NotJoined(u64, PathBuf),
     #[error("a steward ended by itself: {0}; see its log in {1}")]
     StewardEnded(String, PathBuf),
+    #[error("a proxy cannot be started: {0}")]
+    Proxy(#[from] pondarch_proxy::ProxyError),
     #[error("the report cannot be written: {0}")]
     Report(#[from] minijinja::Error),
 }
--- a/crates/rehearsal/src/facts.rs
+++ b/crates/rehearsal/src/facts.rs
@@ -43,7 +43,7 @@
         kind: String,
         lines: Vec<(String, u16)>,
     },
-    /// A proxy sends a try to a host.
+    /// A try of a proxy came to a host.
     Try {
         proxy: String,
         kind: String,
--- a/crates/rehearsal/src/host.rs
+++ b/crates/rehearsal/src/host.rs
@@ -124,6 +124,7 @@
         let text = |name: &str| req.headers().get(name).and_then(|value| value.to_str().ok());
         if self.trouble.hangs.load(Relaxed) {
             if let Some((id, work)) = text("x-req").and_then(|id| id.parse().ok()).zip(self.work(&req)) {
+                self.tried(&req, id);
                 self.facts.note(Fact::Arrived { host: self.make.name.clone(), req: id, work });
             }
             std::future::pending::<()>().await;
@@ -132,6 +133,7 @@
         let (id, kind) =
             (text("x-req").and_then(|id| id.parse().ok()).unwrap_or(0), text("x-kind").unwrap_or(""));
         let host = self.make.name.clone();
+        self.tried(&req, id);
         self.facts.note(Fact::Arrived { host: host.clone(), req: id, work });
         if self.waiting.load(Relaxed) >= WAITING_MOST {
             return self.answer(StatusCode::SERVICE_UNAVAILABLE, true);
@@ -148,6 +150,15 @@
         self.answer(StatusCode::OK, false)
     }
 
+    /// Whose try this is, as the proxy's own header says.
+    fn tried(&self, req: &Request<Incoming>, id: u64) {
+        let text = |name: &str| req.headers().get(name).and_then(|value| value.to_str().ok());
+        if let (Some(proxy), Some(kind)) = (text("x-pondarch-proxy"), text("x-kind")) {
+            let (proxy, kind) = (proxy.to_string(), kind.to_string());
+            self.facts.note(Fact::Try { proxy, kind, host: self.make.name.clone(), req: id });
+        }
+    }
+
     fn work(&self, req: &Request<Incoming>) -> Option<Duration> {
         let us = req.headers().get("x-work-us")?.to_str().ok()?.parse().ok()?;
         Some(Duration::from_micros(us))
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -1,7 +1,8 @@
-//! Stand-in hosts, proxies and clients on loopback, a scripted bad day, and checks of the rules from what crossed
+//! Stand-in hosts and clients and the own proxy on loopback, a scripted bad day, and checks of the rules from what crossed
 //! the sockets. Stewards run as processes of their own.
 //!
-//! - `proxy`, `host`, `client`: the stand-ins.
+//! - `front`: the project's own proxy, with a relay that sees what crosses its runtime socket.
+//! - `host`, `client`: the stand-ins.
 //! - `facts`: what they saw, in one list.
 //! - `rules`: the five rules, checked on that list.
 //! - `service`: benefit answered in time over benefit asked for, by span of the day.
@@ -11,8 +12,8 @@
 pub mod bad_day;
 pub mod client;
 pub mod facts;
+pub mod front;
 pub mod host;
-pub mod proxy;
 pub mod rules;
 pub mod service;
 pub mod site;
