Own proxy measured: trial by a recorded stream, fifty fault schedules; loads carried with the sums

`rehearse proxy` writes a seeded stream to an Arrow file, replays it through one proxy while six versions are published, doubled and late, and judges parts by chi-square; fifty seeded schedules of hosts that change, die and move show no release at two hosts. A host's word on its load goes into show stat and from there to the module; one try's wait can be limited.

--- a/crates/cli/src/rehearse.rs
+++ b/crates/cli/src/rehearse.rs
@@ -3,7 +3,7 @@
 use crate::failed;
 use clap::{Args, Subcommand};
 use pondarch_rehearsal::bad_day::RehearsalError;
-use pondarch_rehearsal::{bad_day, storm};
+use pondarch_rehearsal::{bad_day, storm, trial};
 use serde::Serialize;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -20,6 +20,15 @@
         #[command(flatten)]
         show: Show,
     },
+    /// The own proxy under a recorded stream: parts by weight, versions, speed beside a direct connection.
+    Proxy {
+        #[arg(long, default_value_t = 200_000)]
+        reqs: usize,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[command(flatten)]
+        show: Show,
+    },
     /// Many proxies and hosts, no traffic: joins, drains, and what they cost.
     Storm {
         #[arg(long, default_value_t = 200)]
@@ -91,6 +100,19 @@
             }
             Ok(report.rules_held())
         }
+        Scene::Proxy { reqs, seed, show } => {
+            if !(1_000..=2_000_000).contains(&reqs) {
+                return Err("a trial has 1000 to 2000000 reqs".into());
+            }
+            let folder = show.folder()?;
+            let plan = trial::Plan::of(reqs, seed);
+            let report = trial::play(&plan, &program, &folder).await.map_err(|wrong| wrong.to_string())?;
+            show.print(&report, report.text())?;
+            if report.holds() {
+                show.tidy(&folder);
+            }
+            Ok(report.holds())
+        }
         Scene::Storm { proxies, hosts, show } => {
             if !(1..=1_000).contains(&proxies) || !(8..=5_000).contains(&hosts) {
                 return Err("a storm has 1 to 1000 proxies and 8 to 5000 hosts".into());
--- a/crates/cli/tests/bad_day.rs
+++ b/crates/cli/tests/bad_day.rs
@@ -16,3 +16,17 @@
     // Far under what is measured: this test is of the rules, and machines differ.
     assert!(report["service"].as_f64().is_some_and(|share| share > 0.7), "{text}");
 }
+
+/// A tenth of the full trial: parts by weight, late and doubled versions, every req answered.
+#[test]
+fn the_own_proxy_sends_what_was_published() {
+    let output = Command::new(env!("CARGO_BIN_EXE_pondarch"))
+        .args(["rehearse", "proxy", "--reqs", "20000", "--seed", "2", "--json"])
+        .output()
+        .expect("the program starts");
+    let (text, wrong) = (String::from_utf8_lossy(&output.stdout), String::from_utf8_lossy(&output.stderr));
+    assert!(output.status.success(), "{text}\n{wrong}");
+    let report: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+    assert_eq!(report["older_refused"], 5, "{text}");
+    assert_eq!(report["went_back"], 0, "{text}");
+}
--- a/crates/proxy-front/src/sums.rs
+++ b/crates/proxy-front/src/sums.rs
@@ -1,7 +1,7 @@
 //! Counters of `show stat` turned into what was met since the last look.
 
 use crate::table::Front;
-use pondarch::types::{HostId, KindId, Met, Span, Time};
+use pondarch::types::{HostId, KindId, Load, Met, Span, Time};
 use pondarch_runtime_api::stat::{RowType, StatRow, Sums};
 use std::collections::BTreeMap;
 
@@ -12,6 +12,8 @@
     /// By host, all kinds together; hosts nothing ended at are not named.
     pub met: Vec<(HostId, Met)>,
     pub reqs: Vec<(KindId, f64)>,
+    /// What hosts said of their load in answers since the last look.
+    pub loads: Vec<(HostId, Load)>,
 }
 
 /// The counters at the last look. Each count is given out once.
@@ -44,7 +46,7 @@
         let over = self.at.map_or(Span::ZERO, |at| now - at);
         self.at = Some(now);
         let mut met: BTreeMap<HostId, Sums> = BTreeMap::new();
-        let mut reqs = Vec::new();
+        let (mut reqs, mut loads) = (Vec::new(), BTreeMap::new());
         let mut seen = BTreeMap::new();
         for row in rows {
             let Some(&kind) = kind_of.get(row.backend.as_str()) else { continue };
@@ -54,6 +56,11 @@
                     let before = self.servers.get(&(kind, host.clone())).copied().unwrap_or_default();
                     // A counter that fell back began anew: all of it is new, and none of it is negative.
                     let before = if fell(&sums, &before) { Sums::default() } else { before };
+                    // Without an answer since, the word on the load is as old as the last one.
+                    if sums.done > before.done && (row.busy.is_some() || row.waiting.is_some()) {
+                        loads
+                            .insert(host.clone(), Load { busy: row.busy, queue: row.waiting, service: None });
+                    }
                     let all = met.entry(host.clone()).or_default();
                     all.done += sums.done - before.done;
                     all.errored += sums.errored - before.errored;
@@ -84,7 +91,7 @@
             (host, met)
         };
         let ended = met.into_iter().filter(|(_, sums)| sums.done + sums.errored > 0);
-        Look { over, met: ended.map(told).collect(), reqs }
+        Look { over, met: ended.map(told).collect(), reqs, loads: loads.into_iter().collect() }
     }
 }
 
--- a/crates/proxy-rules/src/holding.rs
+++ b/crates/proxy-rules/src/holding.rs
@@ -24,6 +24,9 @@
     pub current: u64,
     pub total: u64,
     pub sums: Sums,
+    /// The host's newest word on its load.
+    pub busy: Option<f64>,
+    pub queue: Option<f64>,
 }
 
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -51,7 +54,7 @@
 
 impl Server {
     pub fn new(addr: SocketAddr, weight: u16, state: AdminState) -> Server {
-        Server { addr, weight, state, current: 0, total: 0, sums: Sums::default() }
+        Server { addr, weight, state, current: 0, total: 0, sums: Sums::default(), busy: None, queue: None }
     }
 
     pub fn serves(&self) -> bool {
@@ -307,6 +310,8 @@
                     addr: s.addr.to_string(),
                     mean,
                     sums: Some(s.sums),
+                    busy: s.busy,
+                    waiting: s.queue,
                     ..StatRow::default()
                 });
             }
--- a/crates/proxy-rules/src/obey.rs
+++ b/crates/proxy-rules/src/obey.rs
@@ -319,6 +319,15 @@
         self.avoided.ended(now, &self.habits.avoid, (&line.host, line.addr), good, others, &mut self.chance);
     }
 
+    /// A host's own word on its load, as an answer carried it; stewards read it with the sums.
+    pub fn load_told(&mut self, host: &str, busy: Option<f64>, queue: Option<f64>) {
+        for backend in self.holding.backends.values_mut() {
+            if let Some(server) = backend.servers.get_mut(host) {
+                (server.busy, server.queue) = (busy.or(server.busy), queue.or(server.queue));
+            }
+        }
+    }
+
     fn on_server(&mut self, kind: usize, host: &str, change: impl FnOnce(&mut Server)) {
         let backend = self.holding.backends.get_mut(&self.kinds[kind].name);
         if let Some(server) = backend.and_then(|backend| backend.servers.get_mut(host)) {
--- a/crates/proxy/src/carry.rs
+++ b/crates/proxy/src/carry.rs
@@ -132,7 +132,8 @@
                 out.over(Outcome::NeverRan);
                 return said(StatusCode::BAD_REQUEST, "the req cannot be passed on\n");
             };
-            let (outcome, answer) = match timeout(left, self.client.request(built)).await {
+            let head_within = limits.response.map_or(left, |limit| limit.std().min(left));
+            let (outcome, answer) = match timeout(head_within, self.client.request(built)).await {
                 Err(_) => (Outcome::MayHaveRun, Err(StatusCode::GATEWAY_TIMEOUT)),
                 Ok(Err(wrong)) => {
                     let unsent = wrong.is_connect() || is_unsent(&wrong);
@@ -146,6 +147,12 @@
                 }
                 Ok(Ok(answer)) => (Outcome::Done, Ok(answer)),
             };
+            if let Ok(answer) = &answer
+                && let Some(told) = answer.headers().get(pondarch_load_report::HEADER)
+            {
+                let report = pondarch_load_report::Report::read(told.to_str().unwrap_or(""));
+                self.shared.obey().load_told(&line.host, report.busy, report.queue);
+            }
             if outcome == Outcome::Done
                 && let Ok(answer) = answer
             {
--- a/crates/proxy/tests/real/main.rs
+++ b/crates/proxy/tests/real/main.rs
@@ -260,3 +260,90 @@
     assert_eq!(done + errored, 30);
     assert_eq!(a.reqs(), 30, "each req ran once");
 }
+
+/// Hosts change what they do at any moment, die and come back elsewhere; whatever further tries are ordered, no
+/// `release` reaches two hosts that may have run it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn no_effect_twice_over_fifty_seeded_schedules() {
+    let mut schedules = tokio::task::JoinSet::new();
+    for seed in 0..50u64 {
+        schedules.spawn(async move {
+            let mut chance = fastrand::Rng::with_seed(seed);
+            let does = |chance: &mut fastrand::Rng| match chance.u8(0..7) {
+                0 => Does::Closes,
+                1 => Does::Refuses,
+                2 => Does::RefusesUnrun,
+                3 => Does::HeadOnly,
+                4 => Does::Slowly(chance.u64(0..150)),
+                _ => Does::Answers,
+            };
+            let mut hosts = Vec::new();
+            for _ in 0..4 {
+                hosts.push(Host::start(does(&mut chance)).await);
+            }
+            let site = SITE
+                .replace("client_timeout: '1 s'", "client_timeout: '100 ms'")
+                .replace("'500 ms'", "'50 ms'");
+            let standing: Vec<&Host> = hosts.iter().collect();
+            let mut stage = Stage::start(
+                &standing,
+                &site.replace("seed: 5,", &format!("seed: {seed}, further_tries: 1,")),
+            )
+            .await;
+            let modes = ["unsent", "failure", "failure-twice"];
+            stage.order(&[format!("add map pond_tries release {}", modes[seed as usize % 3])]).await;
+            let (addr, mut asked) = (stage.proxy.addr, tokio::task::JoinSet::new());
+            let mut effects: Vec<u64> = Vec::new();
+            for id in 0..60u64 {
+                if chance.u8(0..4) == 0 {
+                    *hosts[chance.usize(0..4)].does.lock().expect("does") = does(&mut chance);
+                }
+                if chance.u8(0..20) == 0 {
+                    let n = chance.usize(0..4);
+                    effects.extend(hosts[n].effects());
+                    hosts[n] = Host::start(does(&mut chance)).await;
+                    let (ip, port) = (hosts[n].addr.ip(), hosts[n].addr.port());
+                    stage.order(&[format!("set server release/h{n} addr {ip} port {port}")]).await;
+                }
+                let req =
+                    format!("GET /release HTTP/1.1\r\nhost: a\r\nx-req: {id}\r\nconnection: close\r\n\r\n");
+                asked.spawn(async move { send(addr, req.as_bytes()).await.0 });
+                tokio::time::sleep(Duration::from_millis(3)).await;
+            }
+            let mut done = 0;
+            while let Some(status) = asked.join_next().await {
+                done += usize::from(status.expect("answered") == 200);
+            }
+            effects.extend(hosts.iter().flat_map(Host::effects));
+            let all = effects.len();
+            effects.sort_unstable();
+            effects.dedup();
+            assert_eq!(all, effects.len(), "seed {seed}: a release reached two hosts");
+            done
+        });
+    }
+    let mut done = 0;
+    while let Some(of_one) = schedules.join_next().await {
+        done += of_one.expect("a schedule");
+    }
+    assert!(done > 50 * 60 / 4, "{done} of 3000 done: the schedules say little");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_s_word_on_its_load_is_shown_and_a_slow_head_is_given_up() {
+    let (a, slow) = (Host::start(Does::TellsLoad).await, Host::start(Does::Slowly(600)).await);
+    let site = SITE
+        .replace("limits: {", "limits: { response: '150 ms', ")
+        .replace("seed: 5,", "seed: 5, avoid: { after: 0 },");
+    let mut stage = Stage::start(&[&a, &slow], &site).await;
+    stage.order(&["add map pond_tries proof failure".into()]).await;
+    let began = Instant::now();
+    for _ in 0..6 {
+        assert_eq!(stage.get("/proof").await.0, 200, "a second try has time left");
+    }
+    assert!(began.elapsed() < Duration::from_millis(6 * 300) && slow.reqs() > 0);
+    let text = stage.say("show stat").await;
+    let rows = pondarch_runtime_api::stat::read(text.trim_end()).expect("stat");
+    let told = rows.iter().find(|row| row.server == "h0").expect("a row");
+    assert_eq!((told.busy, told.waiting), (Some(0.5), Some(4.0)));
+}
--- a/crates/proxy/tests/real/stage.rs
+++ b/crates/proxy/tests/real/stage.rs
@@ -15,6 +15,8 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Does {
     Answers,
+    /// With its load in the head.
+    TellsLoad,
     /// Only after so many milliseconds.
     Slowly(u64),
     /// Head and length, and never the body.
@@ -49,6 +51,13 @@
         Host { addr, does, heads, task }
     }
 
+    /// The numbers (`x-req`) of the reqs that may have taken effect here.
+    pub fn effects(&self) -> Vec<u64> {
+        let heads = self.heads.lock().expect("heads");
+        let number = |head: &String| head.lines().find_map(|line| line.strip_prefix("x-req: "))?.parse().ok();
+        heads.iter().filter(|head| !head.contains("x-unrun")).filter_map(number).collect()
+    }
+
     pub fn reqs(&self) -> usize {
         self.heads.lock().expect("heads").len()
     }
@@ -78,10 +87,15 @@
             continue;
         }
         bytes.drain(..end + 4 + length);
-        heads.lock().expect("heads").push(head);
         let now = *does.lock().expect("does");
+        let unrun = if now == Does::RefusesUnrun { "\nx-unrun" } else { "" };
+        heads.lock().expect("heads").push(format!("{head}{unrun}"));
         let answer: &str = match now {
             Does::Answers => "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
+            Does::TellsLoad => {
+                "HTTP/1.1 200 OK\r\nendpoint-load-metrics: TEXT cpu_utilization=0.5, named_metrics.queue=4\r\n\
+                 content-length: 2\r\n\r\nok"
+            }
             Does::Slowly(ms) => {
                 tokio::time::sleep(Duration::from_millis(ms)).await;
                 "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
--- a/crates/rehearsal/src/bad_day.rs
+++ b/crates/rehearsal/src/bad_day.rs
@@ -27,6 +27,8 @@
     StewardEnded(String, PathBuf),
     #[error("a proxy cannot be started: {0}")]
     Proxy(#[from] pondarch_proxy::ProxyError),
+    #[error(transparent)]
+    Stream(#[from] crate::stream::StreamError),
     #[error("the report cannot be written: {0}")]
     Report(#[from] minijinja::Error),
 }
--- a/crates/rehearsal/src/bad_day/stage.rs
+++ b/crates/rehearsal/src/bad_day/stage.rs
@@ -298,7 +298,7 @@
             "message_cap": plan.limits.message_cap, "message_window": ms(plan.limits.message_window)},
         "reports": {"every": "1 s"},
         "cold": {"start_share": plan.start_share, "warm_within": ms(plan.warm_within)},
-        "probes": {"path": "/health", "load_every": "500 ms"},
+        "probes": {"path": "/health"},
         "crossing_price": 0.06,
         "runtime_api": [{"listen": format!("unix:steward-{steward}.sock"), "level": "admin"}],
     })
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -7,7 +7,8 @@
 //! - `rules`: the five rules, checked on that list.
 //! - `service`: benefit answered in time over benefit asked for, by span of the day.
 //! - `site`: the settings and list that the stewards are given.
-//! - `bad_day`, `storm`: the scripts.
+//! - `stream`: a recorded stream of reqs in a columnar file.
+//! - `bad_day`, `storm`, `trial`: the scripts.
 
 pub mod bad_day;
 pub mod client;
@@ -18,3 +19,5 @@
 pub mod service;
 pub mod site;
 pub mod storm;
+pub mod stream;
+pub mod trial;
--- a/crates/rehearsal/src/storm.rs
+++ b/crates/rehearsal/src/storm.rs
@@ -245,7 +245,7 @@
     (ticks(11) + ticks(12)) * 10.0
 }
 
-fn memory_kib(child: &Child, name: &str) -> u64 {
+pub(crate) fn memory_kib(child: &Child, name: &str) -> u64 {
     let text = child
         .id()
         .and_then(|id| std::fs::read_to_string(format!("/proc/{id}/status")).ok())
--- a/crates/runtime-api/src/stat.rs
+++ b/crates/runtime-api/src/stat.rs
@@ -1,8 +1,9 @@
 //! `show stat`: counters by frontend, server and backend (management guide, 9.1, "CSV format").
 //!
 //! Columns are found by the name in the header, as the guide asks of scripts, so that older and newer peers and
-//! their further columns are read alike. Three columns after the documented ones are ours: sums that a mean over
-//! the last 1,024 answers (`rtime`) cannot give back. A peer without them is read by the documented ones alone.
+//! their further columns are read alike. Five columns after the documented ones are ours: sums that a mean over
+//! the last 1,024 answers (`rtime`) cannot give back, and the host's newest word on its load. A peer without them is
+//! read by the documented ones alone.
 
 use serde_json::{Value, json};
 use std::time::Duration;
@@ -17,7 +18,7 @@
 agent_rise,agent_fall,agent_health,addr,cookie,mode,algo,conn_rate,conn_rate_max,conn_tot,intercepted,dcon,dses,\
 wrew,connect,reuse,cache_lookups,cache_hits,srv_icur,src_ilim,qtime_max,ctime_max,rtime_max,ttime_max,eint,\
 idle_conn_cur,safe_conn_cur,used_conn_cur,need_conn_est,uweight";
-const OWN_COLUMNS: &str = "pond_done,pond_errored,pond_done_ms";
+const OWN_COLUMNS: &str = "pond_done,pond_errored,pond_done_ms,pond_busy,pond_queue";
 
 /// What a row counts; the number is the documented value of `type`.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -54,8 +55,11 @@
     /// Mean time to the answer's head over the last 1,024, in milliseconds.
     pub mean: Duration,
     pub addr: String,
-    /// The sums of the last three columns, where the peer gives them.
+    /// The sums of our own columns, where the peer gives them.
     pub sums: Option<Sums>,
+    /// The host's own word on its load: busy part of its cores, and reqs waiting there.
+    pub busy: Option<f64>,
+    pub waiting: Option<f64>,
 }
 
 /// Ended tries since the process started.
@@ -121,6 +125,8 @@
             "pond_done" => self.sums.map(|s| s.done.to_string()).unwrap_or_default(),
             "pond_errored" => self.sums.map(|s| s.errored.to_string()).unwrap_or_default(),
             "pond_done_ms" => self.sums.map(|s| s.done_time.as_millis().to_string()).unwrap_or_default(),
+            "pond_busy" => self.busy.map(|busy| format!("{busy:.3}")).unwrap_or_default(),
+            "pond_queue" => self.waiting.map(|waiting| format!("{waiting:.3}")).unwrap_or_default(),
             _ => String::new(),
         }
     }
@@ -196,6 +202,7 @@
         status: at("status"),
         addr: at("addr"),
         sums: [at("pond_done"), at("pond_errored"), at("pond_done_ms")],
+        load: [at("pond_busy"), at("pond_queue")],
     };
     let mut rows = Vec::new();
     let mut record = csv::StringRecord::new();
@@ -214,6 +221,7 @@
     status: Option<usize>,
     addr: Option<usize>,
     sums: [Option<usize>; 3],
+    load: [Option<usize>; 2],
 }
 
 impl Places {
@@ -241,6 +249,8 @@
         ] = counters;
         let [one, two, three, four, five, reqs, mean] = rest;
         let own = self.sums.iter().all(|at| !text(*at).is_empty());
+        let load = |at| text(at).parse().ok().filter(|part: &f64| part.is_finite() && *part >= 0.0);
+        let [busy, waiting] = self.load;
         let [done, errored, ms] = self.sums;
         let server = text(Some(self.server)).to_string();
         Ok(StatRow {
@@ -266,6 +276,8 @@
             reqs,
             mean: Duration::from_millis(mean),
             addr: text(self.addr).to_string(),
+            busy: load(busy),
+            waiting: load(waiting),
             sums: if own {
                 let done_time = Duration::from_millis(number(ms)?);
                 Some(Sums { done: number(done)?, errored: number(errored)?, done_time })
--- a/crates/settings/src/proxy.rs
+++ b/crates/settings/src/proxy.rs
@@ -89,6 +89,8 @@
 #[serde(deny_unknown_fields, default)]
 pub struct Limits {
     pub connect: Length,
+    /// How long one try may wait for an answer's head; absent: as long as the req has left.
+    pub response: Option<Length>,
     /// The proxy's own reqs at one host at a time.
     pub at_host: usize,
     pub waiting: usize,
@@ -115,6 +117,7 @@
     fn default() -> Limits {
         Limits {
             connect: Length::millis(250),
+            response: None,
             at_host: 128,
             waiting: 512,
             last_ready_for: Length::millis(3_000),
--- a/crates/steward/src/course.rs
+++ b/crates/steward/src/course.rs
@@ -28,6 +28,7 @@
     pub(crate) kinds: Vec<String>,
     pub(crate) links: Links,
     pub(crate) load_every: Option<Span>,
+    pub(crate) report_every: Span,
     pub(crate) by_rate: bool,
     pub(crate) process: u32,
     pub(crate) started: Time,
@@ -77,6 +78,7 @@
             kinds: site.kinds.iter().map(|kind| kind.name.clone()).collect(),
             links: site.links.clone(),
             load_every,
+            report_every: site.reports.every.0,
             by_rate: ticket.admission == Admission::Rate,
             process,
             started: now,
@@ -245,6 +247,7 @@
                     self.steward.reqs_came(now, id, kind, many, look.over);
                 }
                 self.rounds.came(proxy, &look);
+                self.loads.extend(look.loads.into_iter().map(|(host, load)| (host, (now, load))));
             }
         }
     }
@@ -318,7 +321,7 @@
             }
         }
         if let Some(gathered) = self.rounds.closed(now) {
-            let fresh = self.load_every.map_or(Span::ZERO, |every| every.times(LOAD_PERIODS));
+            let fresh = self.load_every.unwrap_or(Span::ZERO).max(self.report_every).times(LOAD_PERIODS);
             for (host, met) in gathered {
                 let load = self.loads.get(&host).filter(|(at, _)| now - *at <= fresh).map(|(_, load)| *load);
                 let met = Met { load, ..met };
