--- a/crates/proxy-rules/src/obey.rs
+++ b/crates/proxy-rules/src/obey.rs
@@ -79,6 +79,8 @@
     swapped: Time,
     swaps: u64,
     answered_by_last_ready: u64,
+    /// What was last told of each kind.
+    told: Vec<&'static str>,
 }
 
 impl Obey {
@@ -118,6 +120,7 @@
             swapped: now,
             swaps: 0,
             answered_by_last_ready: 0,
+            told: Vec::new(),
         };
         (0..obey.kinds.len()).for_each(|kind| obey.swap(now, kind));
         obey
@@ -171,15 +174,30 @@
         self.avoided.forget(now, &self.habits.avoid);
     }
 
-    /// What `show info` tells of the proxy's state.
-    fn tell(&mut self, now: Time) {
-        let of = |kind: usize| match self.kept[kind].in_use(now, self.habits.last_ready_for) {
+    /// By kind, what is in use.
+    fn states(&self, now: Time) -> Vec<&'static str> {
+        let of = |kept: &LastReady| match kept.in_use(now, self.habits.last_ready_for) {
             InUse::AsSet => "as set",
             InUse::LastReadyUntil(_) => "last ready",
             InUse::Nothing => "no host",
         };
+        self.kept.iter().map(of).collect()
+    }
+
+    /// Kinds for which something else is in use than when this was last asked.
+    pub fn news(&mut self, now: Time) -> Vec<(String, &'static str)> {
+        let states = self.states(now);
+        let before = std::mem::replace(&mut self.told, states.clone());
+        let new = |(n, state): &(usize, &'static str)| before.get(*n).unwrap_or(&"as set") != state;
+        let changed = states.into_iter().enumerate().filter(new);
+        changed.map(|(n, state)| (self.kinds[n].name.clone(), state)).collect()
+    }
+
+    /// What `show info` tells of the proxy's state.
+    fn tell(&mut self, now: Time) {
+        let states = self.states(now);
         let kinds: Vec<String> =
-            (0..self.kinds.len()).map(|kind| format!("{}={}", self.kinds[kind].name, of(kind))).collect();
+            self.kinds.iter().zip(states).map(|(kind, state)| format!("{}={state}", kind.name)).collect();
         let version = self.orders.holder.version().map_or("standing".into(), |version| version.to_string());
         let out: Vec<&str> = self.avoided.out(now).collect();
         self.holding.told = vec![
--- a/crates/proxy/src/body.rs
+++ b/crates/proxy/src/body.rs
@@ -1,6 +1,6 @@
 //! Bodies that are kept for another try, and answers that are counted when they end.
 
-use crate::carry::Out;
+use crate::out::Out;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
--- a/crates/proxy/src/carry.rs
+++ b/crates/proxy/src/carry.rs
@@ -2,6 +2,7 @@
 
 use crate::body::{Answer, AnyBody, Sent, full};
 use crate::guard::Seen;
+use crate::out::Out;
 use crate::shared::{Shared, Together};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -9,7 +10,7 @@
 use hyper::{Request, Response, StatusCode, Uri};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
-use pondarch::types::{Span, Time};
+use pondarch::types::Span;
 use pondarch_proxy_rules::admit::Denied;
 use pondarch_proxy_rules::obey::{Arrival, Pick};
 use pondarch_proxy_rules::table::Line;
@@ -36,44 +37,6 @@
     pub(crate) name: HeaderValue,
 }
 
-/// A try that is out. However it ends, the host's place is given back and the rules are told.
-pub(crate) struct Out {
-    shared: Together,
-    arrival: Arrival,
-    line: Line,
-    sent: Time,
-    told: bool,
-}
-
-impl Out {
-    /// The try ended, and nothing is to follow.
-    pub(crate) fn over(mut self, outcome: Outcome) {
-        self.told = true;
-        let now = self.shared.now();
-        self.shared.obey().left(now, &self.arrival, &self.line, outcome, now - self.sent);
-        self.shared.room();
-    }
-
-    /// The try ended without an answer; gives what may follow.
-    fn failed(mut self, arrival: &mut Arrival, outcome: Outcome) -> Next {
-        self.told = true;
-        let now = self.shared.now();
-        let next = self.shared.obey().ended(now, arrival, &self.line, outcome, now - self.sent);
-        self.shared.room();
-        next
-    }
-}
-
-impl Drop for Out {
-    fn drop(&mut self) {
-        if !self.told {
-            // The client went away: that says nothing of the host.
-            self.shared.obey().abandoned(&self.arrival, &self.line);
-            self.shared.room();
-        }
-    }
-}
-
 /// A req's place in the line, left when it is dropped.
 struct Place<'a> {
     shared: &'a Shared,
@@ -207,7 +170,7 @@
     fn sent(&self, arrival: &mut Arrival, line: Line) -> Out {
         let now = self.shared.now();
         self.shared.obey().sent(now, arrival, &line);
-        Out { shared: self.shared.clone(), arrival: arrival.clone(), line, sent: now, told: false }
+        Out::new(self.shared.clone(), arrival.clone(), line, now)
     }
 
     fn left(&self, arrival: &Arrival) -> Duration {
--- a/crates/proxy/src/desk.rs
+++ b/crates/proxy/src/desk.rs
@@ -6,6 +6,7 @@
 use pondarch_sockets::Desk;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use tracing::{info, warn};
 
 #[derive(Clone)]
 pub(crate) struct ProxyDesk {
@@ -23,7 +24,16 @@
     }
 
     async fn answer(&self, connection: u64, level: Level, line: String) -> Option<String> {
-        let answers = self.shared.obey().line(self.shared.now(), connection, level, &line);
+        let (answers, news) = {
+            let (now, mut obey) = (self.shared.now(), self.shared.obey());
+            (obey.line(now, connection, level, &line), obey.news(now))
+        };
+        for (kind, state) in news {
+            match state {
+                "as set" => info!(kind, "its table has ready hosts again"),
+                state => warn!(kind, state, "its table lists no ready host"),
+            }
+        }
         Some(answers.iter().map(|answer| framed_answer(answer)).collect())
     }
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -4,6 +4,7 @@
 //! - `run`: start, reload, drain, end.
 //! - `shared`: what all parts of a running proxy share: the rules under a lock, the clock, reqs that wait.
 //! - `carry`: one req on its way to a host and back.
+//! - `out`: a try that is out at a host; however it ends, the rules are told.
 //! - `body`: bodies that are kept for another try, and answers that are counted when they end.
 //! - `guard`: refuses heads whose length can be read in two ways.
 //! - `desk`: the runtime API.
@@ -12,6 +13,7 @@
 mod carry;
 mod desk;
 mod guard;
+mod out;
 mod run;
 mod shared;
 
--- /dev/null
+++ b/crates/proxy/src/out.rs
@@ -0,0 +1,49 @@
+//! A try that is out at a host.
+
+use crate::shared::Together;
+use pondarch::types::Time;
+use pondarch_proxy_rules::obey::Arrival;
+use pondarch_proxy_rules::table::Line;
+use pondarch_proxy_rules::tries::{Next, Outcome};
+
+/// A try that is out. However it ends, the host's place is given back and the rules are told.
+pub(crate) struct Out {
+    shared: Together,
+    arrival: Arrival,
+    line: Line,
+    sent: Time,
+    told: bool,
+}
+
+impl Out {
+    pub(crate) fn new(shared: Together, arrival: Arrival, line: Line, sent: Time) -> Out {
+        Out { shared, arrival, line, sent, told: false }
+    }
+
+    /// The try ended, and nothing is to follow.
+    pub(crate) fn over(mut self, outcome: Outcome) {
+        self.told = true;
+        let now = self.shared.now();
+        self.shared.obey().left(now, &self.arrival, &self.line, outcome, now - self.sent);
+        self.shared.room();
+    }
+
+    /// The try ended without an answer; gives what may follow.
+    pub(crate) fn failed(mut self, arrival: &mut Arrival, outcome: Outcome) -> Next {
+        self.told = true;
+        let now = self.shared.now();
+        let next = self.shared.obey().ended(now, arrival, &self.line, outcome, now - self.sent);
+        self.shared.room();
+        next
+    }
+}
+
+impl Drop for Out {
+    fn drop(&mut self) {
+        if !self.told {
+            // The client went away: that says nothing of the host.
+            self.shared.obey().abandoned(&self.arrival, &self.line);
+            self.shared.room();
+        }
+    }
+}
--- a/crates/rehearsal/src/host.rs
+++ b/crates/rehearsal/src/host.rs
@@ -9,8 +9,8 @@
 use pondarch_load_report::{HEADER, Report};
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::Relaxed};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
@@ -57,11 +57,40 @@
     started: Instant,
     cores: Semaphore,
     waiting: AtomicUsize,
-    running: AtomicUsize,
+    busy: Mutex<Busy>,
     trouble: Arc<Trouble>,
     facts: Facts,
 }
 
+/// How busy the cores were lately, as a host reports it: the mean of the last whole period.
+#[derive(Debug)]
+struct Busy {
+    running: usize,
+    changed: Instant,
+    /// Core seconds used in this period, and when it began.
+    used: f64,
+    since: Instant,
+    last: f64,
+}
+
+/// How often a host's report of its load is made anew.
+const REFRESHED: Duration = Duration::from_millis(400);
+
+impl Busy {
+    /// Counts up to now; then so many more or fewer run.
+    fn change(&mut self, by: isize, cores: usize) {
+        let now = Instant::now();
+        self.used += self.running as f64 * (now - self.changed).as_secs_f64();
+        self.changed = now;
+        self.running = self.running.saturating_add_signed(by);
+        let passed = now - self.since;
+        if passed >= REFRESHED {
+            self.last = self.used / (passed.as_secs_f64() * cores as f64);
+            (self.used, self.since) = (0.0, now);
+        }
+    }
+}
+
 impl Host {
     /// Starts at this address, or at one of the system's choosing.
     pub async fn start(make: Make, at: Option<SocketAddr>, facts: Facts) -> std::io::Result<Host> {
@@ -78,7 +107,13 @@
             started: Instant::now(),
             cores: Semaphore::new(make.cores),
             waiting: AtomicUsize::new(0),
-            running: AtomicUsize::new(0),
+            busy: Mutex::new(Busy {
+                running: 0,
+                changed: Instant::now(),
+                used: 0.0,
+                since: Instant::now(),
+                last: 0.0,
+            }),
             trouble: trouble.clone(),
             facts: facts.clone(),
             make: make.clone(),
@@ -143,7 +178,7 @@
             return self.answer(StatusCode::SERVICE_UNAVAILABLE, true);
         };
         drop(place);
-        let _running = Count::up(&self.running);
+        let _running = Runs::begin(self);
         self.facts.note(Fact::Ran { host, kind: kind.to_string(), req: id });
         let slower = self.trouble.slower.load(Relaxed) as f64 / 1e3;
         tokio::time::sleep(work.mul_f64(slower / self.share())).await;
@@ -159,6 +194,13 @@
         }
     }
 
+    /// So many more or fewer run; gives how busy the cores were lately.
+    fn busy(&self, by: isize) -> f64 {
+        let mut busy = self.busy.lock().unwrap_or_else(PoisonError::into_inner);
+        busy.change(by, self.make.cores);
+        busy.last
+    }
+
     fn work(&self, req: &Request<Incoming>) -> Option<Duration> {
         let us = req.headers().get("x-work-us")?.to_str().ok()?.parse().ok()?;
         Some(Duration::from_micros(us))
@@ -176,7 +218,7 @@
 
     fn answer(&self, status: StatusCode, never_ran: bool) -> Response<Empty<Bytes>> {
         let load = Report {
-            busy: Some(self.running.load(Relaxed) as f64 / self.make.cores as f64),
+            busy: Some(self.busy(0)),
             queue: Some(self.waiting.load(Relaxed) as f64),
             latency_ms: None,
         };
@@ -192,6 +234,22 @@
     }
 }
 
+/// A req on a core, until dropped.
+struct Runs<'a>(&'a Works);
+
+impl Runs<'_> {
+    fn begin(of: &Works) -> Runs<'_> {
+        of.busy(1);
+        Runs(of)
+    }
+}
+
+impl Drop for Runs<'_> {
+    fn drop(&mut self) {
+        self.0.busy(-1);
+    }
+}
+
 /// Counts one up until dropped, also when the connection breaks in between.
 struct Count<'a>(&'a AtomicUsize);
 
