--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 //! something could not be had.
 
 mod ctl;
+mod plan;
 mod rehearse;
 
 use clap::{Parser, Subcommand, ValueEnum};
@@ -59,6 +60,15 @@
         #[arg(long)]
         proxy: bool,
     },
+    /// Weights for a described fleet: what each host should get, what is let in, what one more host would bring.
+    Plan {
+        settings: PathBuf,
+        /// Solves by a simplex instead of an interior point method.
+        #[arg(long)]
+        simplex: bool,
+        #[arg(long)]
+        json: bool,
+    },
     /// Sends runtime commands to a socket and prints the answers.
     Ctl {
         /// `unix:PATH` or `IP:PORT`.
@@ -88,6 +98,7 @@
                 Err(wrong) => failed(&wrong.to_string()),
             },
             What::Check { settings, proxy } => check(settings, proxy),
+            What::Plan { settings, simplex, json } => plan::plan(&settings, simplex, json),
             What::Ctl { socket, command } => ctl::ctl(&socket, &command).await,
             What::Rehearse { scene } => rehearse::rehearse(scene).await,
         }
--- /dev/null
+++ b/crates/cli/src/plan.rs
@@ -0,0 +1,139 @@
+//! `pondarch plan`: weights for a described fleet, and what bounds it.
+
+use crate::failed;
+use pondarch_settings::{PlanSite, read_plan};
+use pondarch_weights::solve::one_more;
+use pondarch_weights::{Demand, Fleet, Host, Kind, Plan, SolveError, Solver, guard, solve};
+use serde::Serialize;
+use std::path::Path;
+use std::process::ExitCode;
+
+#[derive(Serialize)]
+struct Printed<'a> {
+    hosts: Vec<PrintedHost<'a>>,
+    kinds: Vec<PrintedKind<'a>>,
+    served: Option<f64>,
+    crossing: f64,
+    little_room: &'a [String],
+    /// Benefit a second that one more host of the first kind of host would bring, by zone.
+    one_more: Vec<(&'a str, f64)>,
+}
+
+#[derive(Serialize)]
+struct PrintedHost<'a> {
+    name: &'a str,
+    weight: f64,
+    utilisation: f64,
+}
+
+#[derive(Serialize)]
+struct PrintedKind<'a> {
+    name: &'a str,
+    let_in: f64,
+}
+
+pub(crate) fn plan(settings: &Path, simplex: bool, json: bool) -> ExitCode {
+    let site = match read_plan(settings) {
+        Ok(site) => site,
+        Err(wrong) => return failed(&wrong.to_string()),
+    };
+    let fleet = fleet(&site);
+    let solver = if simplex { Solver::Simplex } else { Solver::Interior };
+    match solved(&fleet, solver) {
+        Ok((plan, gains)) => print(&fleet, &plan, &gains, json),
+        Err(wrong) => failed(&format!("{}: {wrong}", settings.display())),
+    }
+}
+
+fn solved(fleet: &Fleet, solver: Solver) -> Result<(Plan, Vec<f64>), SolveError> {
+    let mut plan = solve(fleet, solver)?;
+    plan.weights = guard::guarded(&fleet.hosts, &plan.weights);
+    let gains = match fleet.hosts.first() {
+        Some(make) => one_more(fleet, &Host { warm: 1.0, ..make.clone() }, solver)?,
+        None => Vec::new(),
+    };
+    Ok((plan, gains))
+}
+
+fn fleet(site: &PlanSite) -> Fleet {
+    let zone = |name: &String| site.zones.iter().position(|zone| zone == name).unwrap_or(0);
+    let hosts = site.hosts.iter().flat_map(|of| {
+        (0..of.count).map(move |n| Host {
+            name: if of.count == 1 { of.name.clone() } else { format!("{}-{n}", of.name) },
+            zone: zone(&of.zone),
+            cores: of.cores,
+            speed: of.speed,
+            warm: of.warm,
+        })
+    });
+    let kind = |kind: &pondarch_settings::plan::PlanKind| Kind {
+        name: kind.name.clone(),
+        work_s: kind.work.0.secs(),
+        response_target_s: kind.response_target.0.secs(),
+        benefit: kind.benefit,
+    };
+    let rate =
+        |zone: &String, kind: &Kind| site.demand.get(zone).and_then(|rates| rates.get(&kind.name)).copied();
+    let kinds: Vec<Kind> = site.kinds.iter().map(kind).collect();
+    let rates = |zone| kinds.iter().map(|kind| rate(zone, kind).unwrap_or(0.0)).collect();
+    Fleet {
+        demand: Demand { rates: site.zones.iter().map(rates).collect() },
+        zones: site.zones.clone(),
+        hosts: hosts.collect(),
+        kinds,
+        crossing: site.crossing_price,
+    }
+}
+
+fn print(fleet: &Fleet, plan: &Plan, gains: &[f64], json: bool) -> ExitCode {
+    let figures = plan.weights.iter().zip(&plan.utilisation);
+    let host =
+        |(host, (weight, utilisation)): (&'_ Host, (&f64, &f64))| (host.name.clone(), *weight, *utilisation);
+    let hosts: Vec<(String, f64, f64)> = fleet.hosts.iter().zip(figures).map(host).collect();
+    let printed = Printed {
+        hosts: hosts
+            .iter()
+            .map(|(name, weight, utilisation)| PrintedHost {
+                name,
+                weight: *weight,
+                utilisation: *utilisation,
+            })
+            .collect(),
+        kinds: fleet
+            .kinds
+            .iter()
+            .zip(&plan.let_in)
+            .map(|(k, l)| PrintedKind { name: &k.name, let_in: *l })
+            .collect(),
+        served: plan.served,
+        crossing: plan.crossing,
+        little_room: &plan.little_room,
+        one_more: fleet.zones.iter().map(String::as_str).zip(gains.iter().copied()).collect(),
+    };
+    if json {
+        return match serde_json::to_string_pretty(&printed) {
+            Ok(text) => {
+                println!("{text}");
+                ExitCode::SUCCESS
+            }
+            Err(wrong) => failed(&wrong.to_string()),
+        };
+    }
+    println!("{:<24}{:>9}{:>13}", "host", "weight", "utilisation");
+    for host in &printed.hosts {
+        println!("{:<24}{:>9.3}{:>13.3}", host.name, host.weight, host.utilisation);
+    }
+    for kind in &printed.kinds {
+        println!("let in, {:<16}{:>9.3}", kind.name, kind.let_in);
+    }
+    match printed.served {
+        Some(served) => println!("benefit let in{:>19.3}", served),
+        None => println!("nothing is asked for: weights by capacity"),
+    }
+    println!("work that crosses zones{:>10.3}", printed.crossing);
+    println!("hosts with little room: {} of {}", printed.little_room.len(), printed.hosts.len());
+    for (zone, gain) in &printed.one_more {
+        println!("one more host in {zone:<14} {gain:>8.3} benefit a second");
+    }
+    ExitCode::SUCCESS
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,16 +3,19 @@
 //! - `jsonnet`: from a file to JSON, and from JSON to a type, with errors that name file, line or key.
 //! - `units`: spans with a unit and endpoints as they are written.
 //! - `site`, `proxy`: what a steward is told of its site, and an obeying proxy.
+//! - `plan`: a described fleet, for planning.
 //! - `hosts`: the file that lists the hosts.
 
 pub mod hosts;
 mod jsonnet;
+pub mod plan;
 pub mod proxy;
 pub mod site;
 pub mod units;
 
 pub use hosts::{HostEntry, HostsFile, read_hosts};
 pub use jsonnet::SettingsError;
+pub use plan::{PlanSite, read_plan};
 pub use proxy::{ProxySite, read_proxy};
 pub use site::{Site, read_site};
 pub use units::{Endpoint, Length};
--- /dev/null
+++ b/crates/weights/benches/solve.rs
@@ -0,0 +1,42 @@
+//! Time to solve by the number of hosts, with both libraries: `cargo bench -p pondarch-weights`.
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use pondarch_weights::{Demand, Fleet, Host, Kind, Solver, solve};
+
+fn fleet(hosts: usize) -> Fleet {
+    let kind =
+        |name: &str, work_s, benefit| Kind { name: name.into(), work_s, response_target_s: 1.0, benefit };
+    let host = |n: usize| Host {
+        name: format!("host-{n}"),
+        zone: n % 4,
+        cores: 1.0 + (n % 2) as f64,
+        // No two alike, so that nothing is given away by symmetry.
+        speed: 0.8 + ((n * 7919) % 1_000) as f64 / 1_000.0,
+        warm: if n.is_multiple_of(17) { 0.3 } else { 1.0 },
+    };
+    let reqs = hosts as f64 * 0.6 / 0.2;
+    Fleet {
+        zones: ["a", "b", "c", "d"].map(String::from).into(),
+        kinds: vec![kind("proof", 0.3, 1.0), kind("order", 0.18, 5.0), kind("release", 0.18, 3.0)],
+        hosts: (0..hosts).map(host).collect(),
+        demand: Demand { rates: (0..4).map(|z| vec![reqs * (0.06 + 0.04 * z as f64); 3]).collect() },
+        crossing: 0.06,
+    }
+}
+
+fn times(c: &mut Criterion) {
+    let mut group = c.benchmark_group("solve");
+    group.sample_size(10);
+    for (name, solver, most) in [("interior", Solver::Interior, 2_000), ("simplex", Solver::Simplex, 200)] {
+        for hosts in [20, 200, 700, 2_000].into_iter().filter(|hosts| *hosts <= most) {
+            let fleet = fleet(hosts);
+            group.bench_function(BenchmarkId::new(name, hosts), |b| {
+                b.iter(|| solve(&fleet, solver).map(|p| p.worth))
+            });
+        }
+    }
+    group.finish();
+}
+
+criterion_group!(benches, times);
+criterion_main!(benches);
