Probes belong to the daemon and end with it

Need: every task has an owner that ends it; probes were set loose, bounded only by their time limit and number. They are kept in the edge's set now and reaped as new ones start.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -63,7 +63,8 @@
     let mut int = signal(SignalKind::interrupt()).map_err(DaemonError::Signals)?;
     info!(name = site.name, seed, proxies = site.proxies.len(), "steward started");
     let prober = site.probes.clone().map(|probes| Prober::new(probes, inputs.clone()));
-    let mut edge = Edge { connections: BTreeMap::new(), prober, callers, inputs, site };
+    let mut edge =
+        Edge { connections: BTreeMap::new(), prober, probes: JoinSet::new(), callers, inputs, site };
     let mut core = Core::new(&edge.site, seed, std::process::id(), now);
     let mut next = Some(Input::Tick);
     loop {
@@ -101,6 +102,8 @@
 struct Edge {
     connections: BTreeMap<u16, (u64, Connection)>,
     prober: Option<Prober>,
+    /// Probes under way; they end with the daemon.
+    probes: JoinSet<()>,
     callers: Callers,
     inputs: mpsc::Sender<Input>,
     site: Site,
@@ -131,8 +134,9 @@
                 }
             }
             Output::Probe { host, addr, for_load } => {
-                if let Some(prober) = &self.prober {
-                    prober.ask(host, addr, for_load);
+                while self.probes.try_join_next().is_some() {}
+                if let Some(prober) = self.prober.clone() {
+                    self.probes.spawn(prober.ask(host, addr, for_load));
                 }
             }
             Output::Reply { caller, text } => self.callers.reply(caller, text),
--- a/crates/daemon/src/probe.rs
+++ b/crates/daemon/src/probe.rs
@@ -28,22 +28,20 @@
         Prober { probes: Arc::new(probes), places: Arc::new(Semaphore::new(PROBES_MOST)), inputs }
     }
 
-    /// Starts a probe; its task ends within the time limit.
-    pub(crate) fn ask(&self, host: String, addr: SocketAddr, for_load: bool) {
-        let prober = self.clone();
-        tokio::spawn(async move {
-            let asked = match prober.places.try_acquire() {
-                Ok(_place) => timeout(prober.probes.time_limit.std(), get(addr, &prober.probes.path)).await,
-                Err(_) => Ok(None),
-            };
-            let report = asked.ok().flatten();
-            let load = report.map(|report| LoadTold {
-                busy: report.busy,
-                queue: report.queue,
-                service_ms: report.latency_ms,
-            });
-            prober.inputs.send(Input::Probed { host, for_load, good: report.is_some(), load }).await.ok();
+    /// One probe, to its end within the time limit.
+    pub(crate) async fn ask(self, host: String, addr: SocketAddr, for_load: bool) {
+        let asked = match self.places.try_acquire() {
+            Ok(_place) => timeout(self.probes.time_limit.std(), get(addr, &self.probes.path)).await,
+            Err(_) => Ok(None),
+        };
+        let report = asked.ok().flatten();
+        let load = report.map(|report| LoadTold {
+            busy: report.busy,
+            queue: report.queue,
+            service_ms: report.latency_ms,
         });
+        // If the daemon is gone, nobody needs to know.
+        self.inputs.send(Input::Probed { host, for_load, good: report.is_some(), load }).await.ok();
     }
 }
 
