Read once more: one name check, one way to start the program, dead records gone

The operators' add server checked names by a twin of the settings' check; it calls that one, its answer is the same. Three rehearsals started the program by three copies of one piece; one serves them all (the trial's log is added to, in a folder of its own). Records of a proxy that were written and never read, and three functions nobody called, are gone.

--- a/crates/proxy-front/src/session.rs
+++ b/crates/proxy-front/src/session.rs
@@ -95,20 +95,11 @@
         }
     }
 
-    pub fn held(&self) -> &Held {
-        &self.held
-    }
-
     /// Whether all that was asked is answered.
     pub fn is_quiet(&self) -> bool {
         self.asked.is_empty()
     }
 
-    /// Commands of a batch that are not answered yet.
-    pub fn unanswered(&self) -> usize {
-        self.asked.iter().filter(|asked| matches!(asked, Asked::Step(_))).count()
-    }
-
     /// A connection stands: nothing of the last one is awaited any more. Gives the lines to write.
     pub fn begin(&mut self) -> Vec<String> {
         self.asked.clear();
--- a/crates/proxy-front/src/table.rs
+++ b/crates/proxy-front/src/table.rs
@@ -73,13 +73,6 @@
     pub state: BTreeMap<String, String>,
 }
 
-impl Held {
-    pub fn serving(&self, kind: KindId) -> impl Iterator<Item = &HostId> {
-        let of_kind = self.lines.iter().filter(move |((k, _), line)| *k == kind && line.serves());
-        of_kind.map(|((_, host), _)| host)
-    }
-}
-
 /// The words of the map `pond_tries`.
 pub fn tries_word(tries: Tries) -> &'static str {
     match tries {
--- a/crates/rehearsal/src/bad_day/stage.rs
+++ b/crates/rehearsal/src/bad_day/stage.rs
@@ -5,17 +5,16 @@
 use crate::facts::{Fact, Facts, Listed};
 use crate::front::Front;
 use crate::host::{Host, Make, Trouble};
-use crate::site::{Entry, List, write_settings};
+use crate::site::{Entry, List, spawn, write_settings};
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
-use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::UnixStream;
-use tokio::process::{Child, Command};
+use tokio::process::Child;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
 
@@ -108,20 +107,10 @@
     }
 
     pub(super) fn start_steward(&mut self, s: usize) -> Result<(), RehearsalError> {
-        let log = std::fs::File::options()
-            .create(true)
-            .append(true)
-            .open(self.folder.join(format!("steward-{s}.log")))
-            .map_err(failed("a log cannot be written"))?;
-        let child = Command::new(&self.program)
-            .args(["--log", "json", "run"])
-            .arg(self.folder.join(format!("steward-{s}.jsonnet")))
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log)
-            .kill_on_drop(true)
-            .spawn()
-            .map_err(failed("a steward cannot be started"))?;
+        let settings = self.folder.join(format!("steward-{s}.jsonnet"));
+        let log = self.folder.join(format!("steward-{s}.log"));
+        let child =
+            spawn(&self.program, &["run"], &settings, &log).map_err(failed("a steward cannot be started"))?;
         self.stewards[s] = Some(child);
         Ok(())
     }
--- a/crates/rehearsal/src/site.rs
+++ b/crates/rehearsal/src/site.rs
@@ -6,6 +6,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use tokio::process::{Child, Command};
 
 /// One host as the list shows it.
 #[derive(Clone, Debug)]
@@ -82,3 +84,11 @@
 pub fn write_settings(file: &Path, settings: &Value) -> io::Result<()> {
     std::fs::write(file, serde_json::to_string_pretty(settings).unwrap_or_default())
 }
+
+/// Starts this program in a process of its own; it ends with the rehearsal, and its log is added to that file.
+pub(crate) fn spawn(program: &Path, args: &[&str], settings: &Path, log: &Path) -> io::Result<Child> {
+    let log = std::fs::File::options().create(true).append(true).open(log)?;
+    let mut command = Command::new(program);
+    command.args(["--log", "json"]).args(args).arg(settings);
+    command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).kill_on_drop(true).spawn()
+}
--- a/crates/rehearsal/src/storm.rs
+++ b/crates/rehearsal/src/storm.rs
@@ -4,14 +4,13 @@
 use crate::client::Kind;
 use crate::facts::{Fact, Facts, Listed};
 use crate::front::Front;
-use crate::site::{Entry, List, write_settings};
+use crate::site::{Entry, List, spawn, write_settings};
 use minijinja::{Environment, context};
 use serde::Serialize;
 use serde_json::json;
 use std::path::Path;
-use std::process::Stdio;
 use std::time::Duration;
-use tokio::process::{Child, Command};
+use tokio::process::Child;
 use tokio::time::{Instant, sleep};
 
 const KINDS: [&str; 3] = ["proof", "order", "release"];
@@ -180,12 +179,7 @@
 
 fn start(program: &Path, settings: &Path, folder: &Path) -> Result<Child, RehearsalError> {
     let wrong = |wrong| RehearsalError::Io { what: "a steward cannot be started".into(), wrong };
-    let log =
-        std::fs::File::options().create(true).append(true).open(folder.join("steward.log")).map_err(wrong)?;
-    let mut command = Command::new(program);
-    command.args(["--log", "json", "--log-level", "warn", "run"]).arg(settings);
-    command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).kill_on_drop(true);
-    command.spawn().map_err(wrong)
+    spawn(program, &["--log-level", "warn", "run"], settings, &folder.join("steward.log")).map_err(wrong)
 }
 
 /// Waits until all are joined and nothing waits; gives the most lines that were seen waiting.
--- a/crates/rehearsal/src/trial.rs
+++ b/crates/rehearsal/src/trial.rs
@@ -4,7 +4,7 @@
 use crate::bad_day::{RehearsalError, ask};
 use crate::client::Kind;
 use crate::facts::{Facts, Listed};
-use crate::site::{Entry, List, write_settings};
+use crate::site::{Entry, List, spawn, write_settings};
 use crate::stream::{self, Recorded};
 use hdrhistogram::Histogram;
 use http_body_util::{BodyExt, Empty, Full};
@@ -22,12 +22,10 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::process::Stdio;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::process::{Child, Command};
 use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until};
@@ -194,7 +192,13 @@
     write_settings(&folder.join("proxy.jsonnet"), &settings(proxy_addr, plan.seed))
         .map_err(io("settings"))?;
     let socket = folder.join("proxy.sock");
-    let mut proxy = start(program, folder).map_err(io("the proxy cannot be started"))?;
+    let mut proxy = spawn(
+        program,
+        &["--log-level", "warn", "proxy"],
+        &folder.join("proxy.jsonnet"),
+        &folder.join("proxy.log"),
+    )
+    .map_err(io("the proxy cannot be started"))?;
     let up_by = Instant::now() + Duration::from_secs(10);
     while ask(&socket, "show info").await.is_none_or(|text| text.is_empty()) {
         if Instant::now() > up_by {
@@ -416,10 +420,3 @@
         "limits": {"at_host": OPEN_MOST},
     })
 }
-
-fn start(program: &Path, folder: &Path) -> std::io::Result<Child> {
-    let log = std::fs::File::create(folder.join("proxy.log"))?;
-    let mut command = Command::new(program);
-    command.args(["--log", "json", "--log-level", "warn", "proxy"]).arg(folder.join("proxy.jsonnet"));
-    command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).kill_on_drop(true).spawn()
-}
--- a/crates/settings/src/hosts.rs
+++ b/crates/settings/src/hosts.rs
@@ -76,8 +76,9 @@
     Ok(list)
 }
 
-/// Names stand in runtime commands as `<backend>/<server>` and in answers between blanks.
-pub(crate) fn bad_name(name: &str) -> Option<String> {
+/// What is wrong with a name, if anything: names stand in runtime commands as `<backend>/<server>` and in answers
+/// between blanks.
+pub fn bad_name(name: &str) -> Option<String> {
     let fits = |c: char| c.is_ascii_alphanumeric() || "-_.:".contains(c);
     if name.is_empty() || name.len() > 64 || !name.chars().all(fits) {
         return Some(format!("'{name}' is no name: 1 to 64 letters, digits, '-', '_', '.' or ':'"));
--- a/crates/steward/src/course.rs
+++ b/crates/steward/src/course.rs
@@ -257,7 +257,6 @@
         let peer = &mut self.peers[proxy as usize];
         self.channel.cleared(std::mem::take(&mut peer.in_flight));
         peer.failures = 0;
-        peer.last_applied = Some(took);
         peer.refused += refused.len() as u64;
         // There may be a second part that waited for this one.
         peer.mark_dirty(now, &cause);
--- a/crates/steward/src/follow.rs
+++ b/crates/steward/src/follow.rs
@@ -39,7 +39,6 @@
             let (now, cause) = (self.now, self.cause.clone());
             let peer = &mut self.peers[n];
             peer.link = Link::Joined;
-            peer.joined_at = Some(now);
             peer.mark_dirty(now, &cause);
             self.steward.proxy_joined(now, peer.id, fresh, peer.usual, peer.zone);
             let proxy = peer.name.clone();
--- a/crates/steward/src/operator.rs
+++ b/crates/steward/src/operator.rs
@@ -12,7 +12,7 @@
 use pondarch_runtime_api::state::{self, ServerState};
 use pondarch_runtime_api::{AdminState, Command, CommandError, Level, ServerRef};
 use pondarch_settings::HostEntry;
-use pondarch_settings::hosts::HostState;
+use pondarch_settings::hosts::{HostState, bad_name};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -413,8 +413,7 @@
     if core.list.known.get(&id).is_some_and(|known| known.standing != Standing::Gone) {
         return "Already exists a server with the same name in the backend.\n".into();
     }
-    let fits = |c: char| c.is_ascii_alphanumeric() || "-_.:".contains(c);
-    if server.server.len() > 64 || !server.server.chars().all(fits) {
+    if bad_name(&server.server).is_some() {
         return "A host's name has 1 to 64 letters, digits, '-', '_', '.' or ':'.\n".into();
     }
     let entry = HostEntry {
--- a/crates/steward/src/peer.rs
+++ b/crates/steward/src/peer.rs
@@ -1,7 +1,7 @@
 //! One proxy: dialled, looked at, joined, lost, and dialled again.
 
 use crate::channel::Mail;
-use pondarch::types::{KindId, ProxyId, Span, TableId, Time, ZoneId};
+use pondarch::types::{KindId, ProxyId, TableId, Time, ZoneId};
 use pondarch_proxy_front::{Front, Session};
 use pondarch_settings::site::Links;
 use std::collections::BTreeMap;
@@ -43,8 +43,6 @@
     pub(crate) failures: u32,
     pub(crate) ordered: u64,
     pub(crate) refused: u64,
-    pub(crate) joined_at: Option<Time>,
-    pub(crate) last_applied: Option<Span>,
 }
 
 impl Peer {
@@ -66,8 +64,6 @@
             failures: 0,
             ordered: 0,
             refused: 0,
-            joined_at: None,
-            last_applied: None,
         }
     }
 
@@ -91,6 +87,6 @@
         self.failures = self.failures.saturating_add(1);
         self.link = Link::Down(now + doubled.times(0.5 + chance.f64()));
         self.bound.clear();
-        (self.dirty, self.blocked_until, self.silent_since, self.joined_at) = (None, None, None, None);
+        (self.dirty, self.blocked_until, self.silent_since) = (None, None, None);
     }
 }
