--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -93,6 +93,7 @@
         while let Some(output) = core.next_output() {
             match (&output, &names) {
                 (Output::ViewChanged { .. }, Some(names)) => names.set(core.view()),
+                (Output::SayChanged { secondary }, Some(names)) => names.say_changed(*secondary),
                 _ => edge.carry_out(output),
             }
         }
@@ -160,7 +161,7 @@
                 });
             }
             // Only with a DNS front, which the loop tells.
-            Output::ViewChanged { .. } => {}
+            Output::ViewChanged { .. } | Output::SayChanged { .. } => {}
             Output::Reply { caller, text } => self.callers.reply(caller, text),
             Output::Event(event) => log::event(&event),
         }
--- a/crates/daemon/src/dns.rs
+++ b/crates/daemon/src/dns.rs
@@ -4,14 +4,15 @@
 use crate::error::DaemonError;
 use futures_util::{SinkExt, StreamExt};
 use pondarch::types::{ProxyId, Time};
-use pondarch_dns_front::{Answerer, Reply, Transport, View, Zone};
+use pondarch_dns_front::{Answerer, Copies, Key, Reply, Transport, View, Zone, rows};
 use pondarch_dns_rules::Limits;
+use pondarch_settings::site::{Dns, Secondary};
 use pondarch_settings::{Endpoint, Site};
 use pondarch_steward::Input;
 use pondarch_steward::names::TOLD_WITHIN;
 use std::collections::BTreeMap;
-use std::net::IpAddr;
-use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::{Semaphore, mpsc};
@@ -30,7 +31,7 @@
 const PACKET_MOST: usize = 4_096;
 
 /// When the core was last told of a proxy and a table: as many as there are of both at most.
-type Told = BTreeMap<(Option<ProxyId>, u16), Time>;
+type Told = BTreeMap<(Option<ProxyId>, u16), (Time, u32)>;
 
 /// Shared by all sockets of the front.
 #[derive(Clone)]
@@ -40,6 +41,8 @@
     told: Arc<Mutex<Told>>,
     clock: Clock,
     inputs: mpsc::Sender<Input>,
+    socket: Arc<UdpSocket>,
+    secondaries: Arc<[SocketAddr]>,
 }
 
 /// Opens both sockets; the tasks end with the set. None without a DNS front.
@@ -62,56 +65,93 @@
         proxy.sources.iter().map(net).collect::<Vec<_>>()
     };
     let sources = site.proxies.iter().enumerate().flat_map(of).collect();
-    let zone = Zone::new(&dns.zone, dns.listen.ip(), lifetime, &kinds, &proxies, sources)
+    let mut zone = Zone::new(&dns.zone, dns.listen.ip(), lifetime, &kinds, &proxies, sources)
         .map_err(|e| wrong(e.to_string()))?;
+    zone.expire_s = u32::try_from(dns.expires.0.as_micros() / 1_000_000).unwrap_or(u32::MAX);
+    let copies = Copies::new(keys(dns)?);
     let limits = Limits::new(dns.answers_per_second, SOURCES_MOST, clock.now());
+    let listen = |wrong| DaemonError::Listen { at: Endpoint::Tcp(dns.listen), wrong };
+    let udp = UdpSocket::bind(dns.listen).await.map_err(listen)?;
+    let tcp = TcpListener::bind(dns.listen).await.map_err(listen)?;
     let names = Names {
-        answerer: Arc::new(Mutex::new(Answerer::new(zone, limits, seed))),
+        answerer: Arc::new(Mutex::new(Answerer::new(zone, limits, copies, seed))),
         view: Arc::default(),
         told: Arc::default(),
         clock,
         inputs,
+        socket: Arc::new(udp),
+        secondaries: dns.secondaries.iter().map(|secondary| secondary.address).collect(),
     };
-    let listen = |wrong| DaemonError::Listen { at: Endpoint::Tcp(dns.listen), wrong };
-    let udp = UdpSocket::bind(dns.listen).await.map_err(listen)?;
-    let tcp = TcpListener::bind(dns.listen).await.map_err(listen)?;
-    tasks.spawn(by_udp(udp, names.clone()));
+    tasks.spawn(by_udp(names.clone()));
     tasks.spawn(by_tcp(tcp, names.clone()));
     Ok(Some(names))
 }
 
+/// The secondaries' keys, from the files that hold their secrets.
+fn keys(dns: &Dns) -> Result<Vec<Key>, DaemonError> {
+    let key = |of: &Secondary| {
+        let file = of.secret_file.display();
+        let text = std::fs::read_to_string(&of.secret_file).map_err(|e| format!("{file}: {e}"))?;
+        let secret =
+            data_encoding::BASE64.decode(text.trim().as_bytes()).map_err(|e| format!("{file}: {e}"))?;
+        Key::new(&of.key, secret).map_err(|e| format!("{file}: {e}"))
+    };
+    dns.secondaries.iter().map(key).collect::<Result<_, String>>().map_err(DaemonError::Dns)
+}
+
 impl Names {
     /// What is answered from now on.
     pub(crate) fn set(&self, view: Arc<View>) {
-        *self.view.write().unwrap_or_else(PoisonError::into_inner) = view;
+        *self.view.write().unwrap_or_else(PoisonError::into_inner) = view.clone();
+        if !self.secondaries.is_empty() {
+            let zone = self.answerer().zone().clone();
+            // Not under the lock: queries go on meanwhile.
+            let rows = rows(&zone, &view);
+            self.answerer().copies().follow(view.serial, rows);
+        }
     }
 
-    fn answer(&self, from: IpAddr, over: Transport, packet: &[u8]) -> Option<Vec<u8>> {
+    /// Tells a secondary that the zone has changed. Not heard, it is told again: the core sees to that.
+    pub(crate) fn say_changed(&self, n: u16) {
+        let word = self.answerer().word(self.clock.now(), n);
+        if let (Some(word), Some(to)) = (word, self.secondaries.get(usize::from(n))) {
+            self.socket.try_send_to(&word, *to).ok();
+        }
+    }
+
+    fn answerer(&self) -> MutexGuard<'_, Answerer> {
+        self.answerer.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn answer(&self, from: IpAddr, over: Transport, packet: &[u8]) -> Reply {
         let (now, view) =
             (self.clock.now(), self.view.read().unwrap_or_else(PoisonError::into_inner).clone());
-        let reply = self
-            .answerer
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .answer(now, from, over, packet, &view);
-        self.tell(now, &reply);
-        reply.bytes
+        let reply = self.answerer().answer(now, from, over, packet, &view);
+        self.tell(now, &reply, view.serial);
+        reply
+    }
+
+    /// All of a reply was sent: what it says of a secondary is so. Untold it would be told again.
+    async fn sent(&self, reply: Reply) {
+        for (n, heard) in reply.heard {
+            self.inputs.send(Input::Secondary { n, heard }).await.ok();
+        }
     }
 
     /// The core hears of each proxy and table once in a while, not of each answer.
-    fn tell(&self, now: Time, reply: &Reply) {
+    fn tell(&self, now: Time, reply: &Reply, serial: u32) {
         let Some(table) = reply.given.map(|table| table.0).or(reply.asked.map(|_| u16::MAX)) else { return };
         {
             let mut told = self.told.lock().unwrap_or_else(PoisonError::into_inner);
             let last = told.get(&(reply.asked, table)).copied();
-            // Told again well within the time that the core reckons with.
-            if last.is_some_and(|at| now - at < TOLD_WITHIN.times(0.5)) {
+            // Told again well within the time that the core reckons with, and at once of another serial.
+            if last.is_some_and(|(at, of)| of == serial && now - at < TOLD_WITHIN.times(0.5)) {
                 return;
             }
-            told.insert((reply.asked, table), now);
+            told.insert((reply.asked, table), (now, serial));
         }
-        let input =
-            Input::AskedByName { proxy: reply.asked.map(|id| id.0), table: reply.given.map(|table| table.0) };
+        let (proxy, given) = (reply.asked.map(|id| id.0), reply.given.map(|table| table.0));
+        let input = Input::AskedByName { proxy, table: given, serial };
         if self.inputs.try_send(input).is_err() {
             // The next answer tells it again.
             let mut told = self.told.lock().unwrap_or_else(PoisonError::into_inner);
@@ -120,15 +160,17 @@
     }
 }
 
-async fn by_udp(socket: UdpSocket, names: Names) {
+async fn by_udp(names: Names) {
     let mut packet = vec![0; PACKET_MOST];
     loop {
-        match socket.recv_from(&mut packet).await {
+        match names.socket.recv_from(&mut packet).await {
             Ok((len, from)) => {
-                if let Some(answer) = names.answer(from.ip(), Transport::Udp, &packet[..len]) {
+                let reply = names.answer(from.ip(), Transport::Udp, &packet[..len]);
+                for answer in &reply.packets {
                     // An asker that is gone needs no answer.
-                    socket.send_to(&answer, from).await.ok();
+                    names.socket.send_to(answer, from).await.ok();
                 }
+                names.sent(reply).await;
             }
             // What the system says of an earlier answer is no reason to stop.
             Err(wrong) => {
@@ -167,10 +209,16 @@
         .new_codec();
     let mut wire = Framed::new(stream, codec);
     while let Ok(Some(Ok(packet))) = timeout(IDLE, wire.next()).await {
-        let Some(answer) = names.answer(from, Transport::Tcp, &packet) else { return };
-        let sent = timeout(IDLE, SinkExt::<&[u8]>::send(&mut wire, &answer)).await;
-        if !matches!(sent, Ok(Ok(()))) {
+        let reply = names.answer(from, Transport::Tcp, &packet);
+        if reply.packets.is_empty() {
             return;
         }
+        for answer in &reply.packets {
+            let sent = timeout(IDLE, SinkExt::<&[u8]>::send(&mut wire, answer)).await;
+            if !matches!(sent, Ok(Ok(()))) {
+                return;
+            }
+        }
+        names.sent(reply).await;
     }
 }
--- a/crates/daemon/src/log.rs
+++ b/crates/daemon/src/log.rs
@@ -25,6 +25,8 @@
         Event::WeightsFrom { source } => info!(source, "weights from"),
         Event::Weighed { moved, cause } => info!(?moved, cause, "weights changed"),
         Event::PlanFailed { wrong } => warn!(wrong, "no plan"),
+        Event::KeptOut { host, for_s } => info!(host, for_s, "started anew, kept out while caches hold it"),
+        Event::SecondaryLate { secondary } => warn!(secondary, "secondary is behind for too long"),
         Event::HeldBack { table, host } => info!(table, host, "cold host held back"),
     }
 }
--- a/crates/dns-front/src/answer.rs
+++ b/crates/dns-front/src/answer.rs
@@ -1,14 +1,17 @@
 //! From one packet to the next, and who asked.
 
 use crate::fit::fitted;
+use crate::keys::{Chain, Signed, check};
+use crate::rows::{address_record as address, addressed};
+use crate::transfer::{Copies, unsigned};
 use crate::view::{Line, View};
-use crate::zone::{Asks, Zone};
+use crate::zone::{Asks, Of, Zone};
 use hickory_proto::op::{Edns, Message, MessageType, Metadata, OpCode, Query, ResponseCode};
 use hickory_proto::rr::rdata::opt::{EdnsCode, EdnsOption};
-use hickory_proto::rr::rdata::{A, AAAA, NS, SOA, SRV};
+use hickory_proto::rr::rdata::{NS, SOA, SRV};
 use hickory_proto::rr::{DNSClass, Name, RData, Record, RecordType};
 use pondarch::types::{KindId, ProxyId, TableId, Time};
-use pondarch_dns_rules::{Limits, SrvLine, Verdict, srv_weights};
+use pondarch_dns_rules::{Heard, Limits, SrvLine, Verdict, srv_weights};
 use std::collections::BTreeMap;
 use std::net::IpAddr;
 
@@ -21,11 +24,14 @@
 const AMPLIFIES_MOST: usize = 20;
 /// Addresses in an answer to a resolver that knows no SRV: it takes the first, or any.
 const ADDRESSES_MOST: usize = 4;
-/// Of the SOA: how often secondaries look and try again, and when they give up, in seconds (RFC 1912, section 2.2, for
-/// a zone that changes by the second).
+/// Of the SOA: how often secondaries look and try again, in seconds (RFC 1912, section 2.2, for a zone that changes by
+/// the second).
 const REFRESH_S: i32 = 5;
 const RETRY_S: i32 = 2;
-const EXPIRE_S: i32 = 60;
+/// Bytes that a signature takes at most, beside its key's name.
+const SIGNATURE: usize = 120;
+/// Lifetime of a table's last answer, in seconds.
+const LAST_S: u32 = 1;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Transport {
@@ -36,19 +42,22 @@
 /// What becomes of a packet.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Reply {
-    /// None: it is dropped.
-    pub bytes: Option<Vec<u8>>,
+    /// What is sent, in this order; none: the packet is dropped. More than one with a transfer alone.
+    pub packets: Vec<Vec<u8>>,
     /// The proxy that asked for its hosts, if it is known.
     pub asked: Option<ProxyId>,
     /// The table that was given, which caches may hold from now on.
     pub given: Option<TableId>,
     /// Hosts were given to somebody unknown, by a hashed draw.
     pub unknown: bool,
+    /// What is known of secondaries once all of it was sent.
+    pub heard: Vec<(u16, Heard)>,
 }
 
 pub struct Answerer {
     zone: Zone,
     limits: Limits,
+    copies: Copies,
     chance: fastrand::Rng,
 }
 
@@ -62,8 +71,19 @@
 }
 
 impl Answerer {
-    pub fn new(zone: Zone, limits: Limits, seed: u64) -> Answerer {
-        Answerer { zone, limits, chance: fastrand::Rng::with_seed(seed) }
+    pub fn new(zone: Zone, limits: Limits, copies: Copies, seed: u64) -> Answerer {
+        Answerer { zone, limits, copies, chance: fastrand::Rng::with_seed(seed) }
+    }
+
+    /// The copies that secondaries get; they follow each view.
+    pub fn copies(&mut self) -> &mut Copies {
+        &mut self.copies
+    }
+
+    /// The word to a secondary that the zone has changed; none if there is no such secondary.
+    pub fn word(&mut self, now: Time, n: u16) -> Option<Vec<u8>> {
+        let (id, soa) = (self.chance.u16(..), self.soa(self.copies.serial())?);
+        self.copies.word(&self.zone, soa, n, id, seconds(now))
     }
 
     pub fn zone(&self) -> &Zone {
@@ -78,7 +98,11 @@
     pub fn answer(&mut self, now: Time, from: IpAddr, over: Transport, packet: &[u8], view: &View) -> Reply {
         let message = match Message::from_vec(packet) {
             Ok(message) if message.metadata.message_type == MessageType::Query => message,
-            Ok(_) => return Reply::default(),
+            Ok(message) => {
+                let acknowledged = self.copies.acknowledged(packet, &message, seconds(now));
+                let heard = acknowledged.map(|n| (n, Heard::Acknowledged)).into_iter().collect();
+                return Reply { heard, ..Reply::default() };
+            }
             Err(_) => return broken(packet),
         };
         let verdict = match over {
@@ -107,10 +131,6 @@
             Some(of) if of.version() != 0 => Some(ResponseCode::BADVERS),
             _ if message.metadata.op_code != OpCode::Query => Some(ResponseCode::NotImp),
             _ if query.query_class != DNSClass::IN => Some(ResponseCode::Refused),
-            // Transfers are for secondaries, which are not served yet.
-            _ if matches!(query.query_type, RecordType::AXFR | RecordType::IXFR) => {
-                Some(ResponseCode::Refused)
-            }
             _ => None,
         };
         if let Some(code) = refusal {
@@ -121,13 +141,26 @@
             });
             return plain(head, Some(query), edns);
         }
-        let room = match over {
+        if matches!(query.query_type, RecordType::AXFR | RecordType::IXFR) {
+            let Some(soa) = self.soa(self.copies.serial()) else { return Reply::default() };
+            let of = (soa, self.name_server());
+            return self.copies.asked(&self.zone, of, over, (packet, &message), query, seconds(now));
+        }
+        let signed = match check(self.copies.keys(), packet, &message, seconds(now)) {
+            Signed::Not => None,
+            Signed::By(n, mac) => Some(Chain::new(&self.copies.keys()[n], mac, seconds(now))),
+            Signed::Wrong(context) => return unsigned(head, query, *context),
+        };
+        let mut room = match over {
             Transport::Tcp => TCP_MOST,
             Transport::Udp => {
                 let told = message.edns.as_ref().map_or(PLAIN_MOST, |e| usize::from(e.max_payload()));
                 told.clamp(PLAIN_MOST, usize::from(EDNS_MOST)).min(packet.len() * AMPLIFIES_MOST)
             }
         };
+        if let Some(record) = message.signature.as_ref().filter(|_| signed.is_some()) {
+            room = room.saturating_sub(SIGNATURE + record.name.len());
+        }
         // Behind a shared resolver the client's net tells more than the resolver's (RFC 7871).
         let subnet = message.edns.as_ref().and_then(|e| match e.option(EdnsCode::Subnet) {
             Some(EdnsOption::Subnet(subnet)) if subnet.source_prefix() > 0 => Some(subnet.addr()),
@@ -135,7 +168,12 @@
         });
         let ttl = self.zone.lifetime.hosts_s;
         let draft = Draft { head, query, edns, room, ttl };
-        self.found(draft, subnet.unwrap_or(from), view)
+        let mut reply = self.found(draft, subnet.unwrap_or(from), view);
+        if let Some(mut chain) = signed {
+            let sign = |bytes: Vec<u8>| chain.sign(Message::from_vec(&bytes).ok()?);
+            reply.packets = reply.packets.into_iter().filter_map(sign).collect();
+        }
+        reply
     }
 
     fn found(&mut self, mut draft: Draft, from: IpAddr, view: &View) -> Reply {
@@ -149,7 +187,7 @@
             }
             Asks::Nothing => self.negative(draft, ResponseCode::NXDomain, view),
             Asks::Apex => {
-                let soa = wanted(RecordType::SOA).then(|| self.soa(view)).flatten();
+                let soa = wanted(RecordType::SOA).then(|| self.soa(view.serial)).flatten();
                 let ns = wanted(RecordType::NS).then(|| self.name_server()).flatten();
                 self.records(draft, soa.into_iter().chain(ns).collect(), view)
             }
@@ -168,12 +206,36 @@
             },
             Asks::Between => self.negative(draft, ResponseCode::NoError, view),
             Asks::Services(kind, proxy) if wanted(RecordType::SRV) => {
-                self.services(draft, kind, proxy, from, view)
+                let (table, reply) = self.table(kind, proxy, from, view);
+                match table {
+                    Some(table) => self.services(draft.of(table, view), view.lines(table), reply),
+                    None => no_host(draft, reply),
+                }
             }
             Asks::Addresses(kind, proxy) if wanted(RecordType::A) || wanted(RecordType::AAAA) => {
-                self.addresses(draft, kind, proxy, from, view)
+                let (table, reply) = self.table(kind, proxy, from, view);
+                match table {
+                    Some(table) => self.addresses(draft.of(table, view), view.lines(table), reply, view),
+                    None => no_host(draft, reply),
+                }
             }
             Asks::Services(..) | Asks::Addresses(..) => self.negative(draft, ResponseCode::NoError, view),
+            Asks::Table(of) => {
+                // Here nobody needs all of them as one: who asks for that gets one by a draw, like any stranger.
+                let table = match of {
+                    Of::Table(table) => view.tables.contains_key(&table).then_some(table),
+                    Of::All => self.table(KindId(0), None, from, view).0,
+                };
+                let Some(table) = table else { return self.negative(draft, ResponseCode::NXDomain, view) };
+                let (lines, draft) = (view.lines(table), draft.of(table, view));
+                let reply = Reply { given: Some(table), unknown: true, ..Reply::default() };
+                match kind_of_record {
+                    _ if lines.is_empty() => no_host(draft, reply),
+                    RecordType::SRV | RecordType::ANY => self.services(draft, lines, reply),
+                    RecordType::A | RecordType::AAAA => self.addresses(draft, lines, reply, view),
+                    _ => self.negative(draft, ResponseCode::NoError, view),
+                }
+            }
         }
     }
 
@@ -195,17 +257,7 @@
         (table, reply)
     }
 
-    fn services(
-        &mut self,
-        draft: Draft,
-        kind: KindId,
-        proxy: Option<ProxyId>,
-        from: IpAddr,
-        view: &View,
-    ) -> Reply {
-        let (table, reply) = self.table(kind, proxy, from, view);
-        let Some(table) = table else { return no_host(draft, reply) };
-        let lines = view.lines(table);
+    fn services(&mut self, draft: Draft, lines: &[Line], reply: Reply) -> Reply {
         let by_host: BTreeMap<_, &Line> = lines.iter().map(|line| (&line.host, line)).collect();
         let weighed = srv_weights(lines.iter().map(|line| (&line.host, line.weight, line.cold)));
         let zone = &self.zone;
@@ -224,25 +276,17 @@
             message
         };
         match fitted(&weighed, draft.room, &mut self.chance, build) {
-            Some(bytes) => Reply { bytes: Some(bytes), ..reply },
+            Some(bytes) => Reply { packets: vec![bytes], ..reply },
             None => truncated(draft),
         }
     }
 
-    /// For resolvers that know no SRV: a few addresses drawn by weight, the first by its weight alone.
-    fn addresses(
-        &mut self,
-        draft: Draft,
-        kind: KindId,
-        proxy: Option<ProxyId>,
-        from: IpAddr,
-        view: &View,
-    ) -> Reply {
-        let (table, reply) = self.table(kind, proxy, from, view);
-        let Some(table) = table else { return no_host(draft, reply) };
+    /// For resolvers that know no SRV: a few addresses drawn by weight, the first by its weight alone. A cold host is
+    /// none of them beside warm ones: whoever holds the answer sends it an even share.
+    fn addresses(&mut self, draft: Draft, lines: &[Line], reply: Reply, view: &View) -> Reply {
         let want_v4 = draft.query.query_type != RecordType::AAAA;
         let fits = |line: &&Line| line.addr.is_ipv4() == want_v4 || draft.query.query_type == RecordType::ANY;
-        let mut lines: Vec<&Line> = view.lines(table).iter().filter(fits).collect();
+        let mut lines: Vec<&Line> = addressed(lines).into_iter().filter(fits).collect();
         if lines.is_empty() {
             return self.negative(draft, ResponseCode::NoError, view);
         }
@@ -259,7 +303,7 @@
             message.add_answer(address(draft.query.name.clone(), draft.ttl, line.addr.ip()));
         }
         match message.to_vec() {
-            Ok(bytes) if bytes.len() <= draft.room => Reply { bytes: Some(bytes), ..reply },
+            Ok(bytes) if bytes.len() <= draft.room => Reply { packets: vec![bytes], ..reply },
             _ => truncated(draft),
         }
     }
@@ -272,7 +316,7 @@
         let mut message = draft.message();
         message.add_answers(records);
         match message.to_vec() {
-            Ok(bytes) if bytes.len() <= draft.room => Reply { bytes: Some(bytes), ..Reply::default() },
+            Ok(bytes) if bytes.len() <= draft.room => Reply { packets: vec![bytes], ..Reply::default() },
             _ => truncated(draft),
         }
     }
@@ -281,19 +325,20 @@
     fn negative(&self, draft: Draft, code: ResponseCode, view: &View) -> Reply {
         let mut message = draft.message();
         message.metadata.response_code = code;
-        if let Some(soa) = self.soa(view) {
+        if let Some(soa) = self.soa(view.serial) {
             message.add_authority(soa);
         }
         match message.to_vec() {
-            Ok(bytes) if bytes.len() <= draft.room => Reply { bytes: Some(bytes), ..Reply::default() },
+            Ok(bytes) if bytes.len() <= draft.room => Reply { packets: vec![bytes], ..Reply::default() },
             _ => truncated(draft),
         }
     }
 
-    fn soa(&self, view: &View) -> Option<Record> {
+    fn soa(&self, serial: u32) -> Option<Record> {
         let (life, server) = (self.zone.lifetime, self.zone.server_name()?);
         let contact = Name::from_ascii("operators").ok()?.append_domain(&self.zone.origin).ok()?;
-        let soa = SOA::new(server, contact, view.serial, REFRESH_S, RETRY_S, EXPIRE_S, life.negative_s);
+        let expire = i32::try_from(self.zone.expire_s).unwrap_or(i32::MAX);
+        let soa = SOA::new(server, contact, serial, REFRESH_S, RETRY_S, expire, life.negative_s);
         Some(Record::from_rdata(self.zone.origin.clone(), life.negative_s, RData::SOA(soa)))
     }
 
@@ -304,6 +349,14 @@
 }
 
 impl Draft<'_> {
+    /// A table that shows what it last had is held for as short as can be.
+    fn of(mut self, table: TableId, view: &View) -> Self {
+        if view.last.contains(&table) {
+            self.ttl = self.ttl.min(LAST_S);
+        }
+        self
+    }
+
     fn message(&self) -> Message {
         let mut message = Message::new(self.head.id, MessageType::Response, self.head.op_code);
         message.metadata = self.head;
@@ -313,12 +366,9 @@
     }
 }
 
-fn address(name: Name, ttl: u32, ip: IpAddr) -> Record {
-    let data = match ip.to_canonical() {
-        IpAddr::V4(v4) => RData::A(A(v4)),
-        IpAddr::V6(v6) => RData::AAAA(AAAA(v6)),
-    };
-    Record::from_rdata(name, ttl, data)
+/// Seconds since 1970, as signatures have it.
+fn seconds(now: Time) -> u64 {
+    (now - Time::default()).as_micros() / 1_000_000
 }
 
 fn message_len(message: &Message) -> usize {
@@ -329,7 +379,7 @@
 fn no_host(draft: Draft, reply: Reply) -> Reply {
     let mut head = draft.head;
     head.response_code = ResponseCode::ServFail;
-    Reply { bytes: plain(head, Some(draft.query), draft.edns).bytes, given: None, ..reply }
+    Reply { packets: plain(head, Some(draft.query), draft.edns).packets, given: None, ..reply }
 }
 
 fn truncated(draft: Draft) -> Reply {
@@ -343,7 +393,7 @@
     message.metadata = head;
     message.queries.extend(query.cloned());
     message.edns = edns;
-    Reply { bytes: message.to_vec().ok(), ..Reply::default() }
+    Reply { packets: message.to_vec().ok().into_iter().collect(), ..Reply::default() }
 }
 
 /// A packet that cannot be read: FORMERR if it is a query with a number at all.
@@ -352,7 +402,7 @@
         [a, b, flags, ..] if packet.len() >= 12 && flags & 0x80 == 0 => {
             let id = u16::from_be_bytes([*a, *b]);
             let message = Message::error_msg(id, OpCode::Query, ResponseCode::FormErr);
-            Reply { bytes: message.to_vec().ok(), ..Reply::default() }
+            Reply { packets: message.to_vec().ok().into_iter().collect(), ..Reply::default() }
         }
         _ => Reply::default(),
     }
--- a/crates/dns-front/src/lib.rs
+++ b/crates/dns-front/src/lib.rs
@@ -5,13 +5,23 @@
 //! - `answer`: from one packet to the next, and who asked.
 //! - `ask`: the asking side.
 //! - `fit`: an answer within the size that there is room for.
+//! - `rows`, `journal`, `transfer`, `keys`: copies of the zone for secondaries, whole and by differences, signed.
+//! - `fetch`: the secondary's side of that.
 
 mod answer;
 pub mod ask;
+pub mod fetch;
 mod fit;
+mod journal;
+mod keys;
+mod rows;
+mod transfer;
 mod view;
 mod zone;
 
 pub use answer::{Answerer, Reply, Transport};
+pub use keys::{Key, KeyError};
+pub use rows::{Row, rows};
+pub use transfer::Copies;
 pub use view::{Line, View};
-pub use zone::{Asks, Zone, ZoneError};
+pub use zone::{Asks, Of, Zone, ZoneError};
--- a/crates/dns-front/src/view.rs
+++ b/crates/dns-front/src/view.rs
@@ -1,7 +1,7 @@
 //! The tables as they are to be answered.
 
 use pondarch::types::{HostId, KindId, ProxyId, TableId};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 /// A host of a table.
@@ -20,6 +20,8 @@
     pub tables: BTreeMap<TableId, Vec<Line>>,
     pub bound: BTreeMap<(ProxyId, KindId), TableId>,
     pub hosts: BTreeMap<HostId, SocketAddr>,
+    /// Tables that have nothing any more and show what they last had: answered with a lifetime of 1 s.
+    pub last: BTreeSet<TableId>,
 }
 
 impl View {
@@ -35,6 +37,19 @@
         filled.get(drawn).copied()
     }
 
+    /// All tables as one, each with the same part: the lines that whoever is not told apart gets.
+    pub fn all(&self) -> Vec<Line> {
+        let mut all: BTreeMap<&HostId, Line> = BTreeMap::new();
+        for lines in self.tables.values() {
+            let sum: f64 = lines.iter().map(|line| line.weight).sum();
+            for line in lines {
+                let own = all.entry(&line.host).or_insert_with(|| Line { weight: 0.0, ..line.clone() });
+                own.weight += line.weight / sum.max(f64::MIN_POSITIVE);
+            }
+        }
+        all.into_values().collect()
+    }
+
     pub fn lines(&self, table: TableId) -> &[Line] {
         self.tables.get(&table).map_or(&[], Vec::as_slice)
     }
--- a/crates/dns-front/src/zone.rs
+++ b/crates/dns-front/src/zone.rs
@@ -7,11 +7,12 @@
 //! | `_<kind>._tcp.<proxy>`, `_<kind>._tcp` | SRV (RFC 2782), for a proxy by its name or by its source |
 //! | `<kind>.<proxy>`, `<kind>` | addresses, for resolvers that know no SRV |
 //! | `<host>.hosts` | a host's address: the targets of SRV |
+//! | `t<n>.tables`, `all.tables` | a table, and all of them as one: what the names of a transferred zone are aliases of |
 //!
 //! Names in between (`_tcp.<proxy>`, `hosts`) exist and hold nothing (RFC 8020).
 
 use hickory_proto::rr::Name;
-use pondarch::types::{HostId, KindId, ProxyId};
+use pondarch::types::{HostId, KindId, ProxyId, TableId};
 use pondarch_dns_rules::Lifetime;
 use std::collections::BTreeMap;
 use std::net::IpAddr;
@@ -20,17 +21,31 @@
 const HOSTS: &str = "hosts";
 const NS: &str = "ns";
 const TCP: &str = "_tcp";
+const TABLES: &str = "tables";
+const ALL: &str = "all";
+
+/// If the settings say nothing else.
+const EXPIRE_S: u32 = 60;
 
 #[derive(Clone, Debug, PartialEq, Error)]
 pub enum ZoneError {
     #[error("'{0}' is no domain name")]
     Name(String),
-    #[error("the {0} '{1}' cannot be a label: 1 to 63 letters, digits or '-', and none of ns, hosts, _tcp")]
+    #[error(
+        "the {0} '{1}' cannot be a label: 1 to 63 letters, digits or '-', and none of ns, hosts, tables, _tcp"
+    )]
     Label(&'static str, String),
     #[error("'{0}' is a proxy and a kind")]
     Twice(String),
 }
 
+/// One table, or all of them taken together: who is not known to a secondary gets those.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Of {
+    Table(TableId),
+    All,
+}
+
 /// What a name asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Asks {
@@ -41,6 +56,8 @@
     /// A kind as addresses.
     Addresses(KindId, Option<ProxyId>),
     Host(HostId),
+    /// A table by its own name, as SRV or as addresses.
+    Table(Of),
     /// It exists, and has nothing of its own.
     Between,
     /// Below the zone, and there is no such name.
@@ -55,6 +72,8 @@
     /// The server's own address, for `ns`.
     pub server: IpAddr,
     pub lifetime: Lifetime,
+    /// When a secondary that is cut off stops answering, in seconds.
+    pub expire_s: u32,
     kinds: BTreeMap<String, KindId>,
     proxies: BTreeMap<String, ProxyId>,
     /// Nets whose queries are a proxy's, the longest prefix first: address, bits.
@@ -90,7 +109,15 @@
             by_proxy.insert(proxy, ProxyId(n as u16));
         }
         sources.sort_by_key(|(_, bits, _)| std::cmp::Reverse(*bits));
-        Ok(Zone { origin: name, server, lifetime, kinds: by_kind, proxies: by_proxy, sources })
+        Ok(Zone {
+            origin: name,
+            server,
+            lifetime,
+            expire_s: EXPIRE_S,
+            kinds: by_kind,
+            proxies: by_proxy,
+            sources,
+        })
     }
 
     /// What a name asks for; case plays no part (RFC 4343).
@@ -108,12 +135,13 @@
         match labels.as_slice() {
             [] => Asks::Apex,
             [NS] => Asks::NameServer,
-            [HOSTS] | [TCP] => Asks::Between,
+            [HOSTS] | [TCP] | [TABLES] => Asks::Between,
             [one] => match self.kinds.get(*one) {
                 Some(kind) => Asks::Addresses(*kind, None),
                 None => known(proxy(one).map(|_| Asks::Between)),
             },
             [host @ .., HOSTS] => Asks::Host(HostId(host.join(".").into())),
+            [of, TABLES] => known(table_of(of).map(Asks::Table)),
             [kind, TCP] => known(service(kind).map(|kind| Asks::Services(kind, None))),
             [TCP, of] => known(proxy(of).map(|_| Asks::Between)),
             [kind, of] => {
@@ -138,14 +166,49 @@
         name.append_label(HOSTS).ok()?.append_domain(&self.origin).ok()
     }
 
+    /// The name that a kind is asked by: as SRV or as addresses, of a proxy or of whoever asks.
+    pub fn kind_name(&self, kind: &str, proxy: Option<&str>, srv: bool) -> Option<Name> {
+        let service = format!("_{kind}");
+        let own = if srv { vec![service.as_str(), TCP] } else { vec![kind] };
+        Name::from_labels(own.into_iter().chain(proxy).map(str::as_bytes))
+            .ok()?
+            .append_domain(&self.origin)
+            .ok()
+    }
+
+    pub fn table_name(&self, of: Of) -> Option<Name> {
+        let own = match of {
+            Of::Table(table) => format!("t{}", table.0),
+            Of::All => ALL.to_string(),
+        };
+        Name::from_labels([own.as_bytes(), TABLES.as_bytes()]).ok()?.append_domain(&self.origin).ok()
+    }
+
+    /// All kinds, by name.
+    pub fn kinds(&self) -> impl Iterator<Item = (&str, KindId)> {
+        self.kinds.iter().map(|(name, kind)| (name.as_str(), *kind))
+    }
+
+    /// All proxies, by name.
+    pub fn proxies(&self) -> impl Iterator<Item = (&str, ProxyId)> {
+        self.proxies.iter().map(|(name, proxy)| (name.as_str(), *proxy))
+    }
+
     pub fn server_name(&self) -> Option<Name> {
         Name::from_labels([NS.as_bytes()]).ok()?.append_domain(&self.origin).ok()
     }
 }
 
+fn table_of(label: &str) -> Option<Of> {
+    if label == ALL {
+        return Some(Of::All);
+    }
+    label.strip_prefix('t')?.parse().ok().map(|n| Of::Table(TableId(n)))
+}
+
 fn is_label(name: &str) -> bool {
     let fits = |c: char| c.is_ascii_alphanumeric() || c == '-';
-    let taken = [HOSTS, NS, TCP].iter().any(|word| name.eq_ignore_ascii_case(word));
+    let taken = [HOSTS, NS, TCP, TABLES].iter().any(|word| name.eq_ignore_ascii_case(word));
     (1..=62).contains(&name.len()) && name.chars().all(fits) && !taken
 }
 
--- a/crates/dns-rules/src/lib.rs
+++ b/crates/dns-rules/src/lib.rs
@@ -5,15 +5,18 @@
 //! - `members`: who is joined by asking, and who has left by not asking.
 //! - `srv`: tables as SRV weights, and as a sample where not all fits.
 //! - `limits`: how often a source is answered.
+//! - `secondaries`: who serves copies of the zone, how far behind they are, and when to tell them.
 
 pub mod held;
 pub mod lifetime;
 pub mod limits;
 pub mod members;
+pub mod secondaries;
 pub mod srv;
 
-pub use held::Held;
+pub use held::{Held, Named};
 pub use lifetime::{Lifetime, LifetimeError};
 pub use limits::{Limits, Verdict};
 pub use members::{Asked, Members};
-pub use srv::{SrvLine, sample, srv_weights};
+pub use secondaries::{Heard, Secondaries};
+pub use srv::{SrvLine, sample, srv_parts, srv_weights};
--- a/crates/dns-rules/src/lifetime.rs
+++ b/crates/dns-rules/src/lifetime.rs
@@ -60,6 +60,13 @@
         }
     }
 
+    /// How long after its hosts were told away a table's last answer may still be given with a lifetime of 1 s, when
+    /// the table has nothing else: it has run out before the grace ends. None: no time at all.
+    pub fn last_answer_for(grace: Span) -> Option<Span> {
+        let left = grace.as_micros().checked_sub((Span::from_millis(1_000) + COUNTED).as_micros())?;
+        Some(Span::from_micros(left)).filter(|left| *left > Span::ZERO)
+    }
+
     /// How long a cache may hold an answer at most.
     pub fn held(&self) -> Span {
         Span::from_millis(u64::from(self.hosts_s) * 1_000) + COUNTED
@@ -97,6 +104,8 @@
             Err(LifetimeError::TooLong { wanted_s: 9, most_s: 8 })
         );
         assert_eq!(Lifetime::of(S(86_400), S(1), None).map(|life| life.hosts_s), Ok(LONGEST_S));
+        assert_eq!(Lifetime::last_answer_for(S(6)), Some(S(4)));
+        assert_eq!(Lifetime::last_answer_for(S(2)), None);
         let text = Lifetime::of(S(2), Span::from_millis(350), None).map_err(|wrong| wrong.to_string());
         assert!(text.is_err_and(|text| text.contains("with 2350 ms it would")));
     }
--- a/crates/settings/src/site.rs
+++ b/crates/settings/src/site.rs
@@ -4,7 +4,7 @@
 use crate::jsonnet::{self, SettingsError};
 use crate::units::{Endpoint, Length};
 use ipnet::IpNet;
-use pondarch::types::{Admission, JobTicket, KindTicket, Tries};
+use pondarch::types::{Admission, JobTicket, KindTicket, Span, Tries};
 use pondarch_dns_rules::{Lifetime, LifetimeError};
 use pondarch_runtime_api::Level;
 use serde::Deserialize;
@@ -173,15 +173,45 @@
     /// For each small net, over UDP.
     #[serde(default = "fifty")]
     pub answers_per_second: f64,
+    /// Who may have copies of the zone; their places are their numbers.
+    #[serde(default)]
+    pub secondaries: Vec<Secondary>,
+    /// How long a secondary may be behind after a change: with any, it comes off the lifetime of answers.
+    #[serde(default = "behind")]
+    pub behind: Length,
+    /// When a secondary that is cut off stops answering.
+    #[serde(default = "expires")]
+    pub expires: Length,
+}
+
+/// Another server that answers from a copy of the zone.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Secondary {
+    /// Where it is told of changes.
+    pub address: SocketAddr,
+    /// Name of its key, as both sides know it.
+    pub key: String,
+    /// File with the key's secret in base64.
+    pub secret_file: PathBuf,
 }
 
 impl Dns {
     /// Errors: the grace leaves no lifetime, or not the one wanted.
     pub fn lifetime(&self) -> Result<Lifetime, LifetimeError> {
-        Lifetime::of(self.grace.0, self.learns_within.0, self.lifetime)
+        let behind = if self.secondaries.is_empty() { Span::ZERO } else { self.behind.0 };
+        Lifetime::of(self.grace.0, self.learns_within.0 + behind, self.lifetime)
     }
 }
 
+fn behind() -> Length {
+    Length::millis(1_000)
+}
+
+fn expires() -> Length {
+    Length::millis(60_000)
+}
+
 fn learns_within() -> Length {
     Length::millis(500)
 }
@@ -376,6 +406,13 @@
             if let Err(text) = dns.lifetime() {
                 return wrong("dns.grace", text.to_string());
             }
+            span_within("dns.behind", dns.behind, 100, 60_000)?;
+            span_within("dns.expires", dns.expires, 2_000, 86_400_000)?;
+            let mut keys = BTreeSet::new();
+            if let Some(n) = dns.secondaries.iter().position(|other| !keys.insert(&other.key)) {
+                let text = format!("'{}' is another secondary's key too", dns.secondaries[n].key);
+                return wrong(&format!("dns.secondaries[{n}].key"), text);
+            }
         }
         let links = &self.links;
         span_within("links.answer_limit", links.answer_limit, 50, 60_000)?;
@@ -435,6 +472,9 @@
     for proxy in &mut site.proxies {
         proxy.runtime = proxy.runtime.take().map(|runtime| runtime.seen_from(&folder));
     }
+    for secondary in site.dns.iter_mut().flat_map(|dns| &mut dns.secondaries) {
+        secondary.secret_file = folder.join(&secondary.secret_file);
+    }
     for listener in &mut site.runtime_api {
         listener.listen = listener.listen.clone().seen_from(&folder);
     }
--- a/crates/steward/src/books.rs
+++ b/crates/steward/src/books.rs
@@ -4,7 +4,7 @@
 use pondarch::types::{HostId, KindId, TableId, Time, Tries};
 use pondarch_proxy_front::units::{Share, units};
 use pondarch_proxy_front::{Lines, WantedLine, table};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 /// One table.
@@ -20,6 +20,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Books {
     pub(crate) books: BTreeMap<TableId, Book>,
+    /// Hosts that no proxy is to be told of for now, as long as their tables have others.
+    kept_out: BTreeSet<HostId>,
 }
 
 impl Books {
@@ -50,13 +52,31 @@
         changed
     }
 
+    /// These hosts are kept out from now on; gives the tables that hold one of those that `changed`.
+    pub(crate) fn keep_out(&mut self, hosts: BTreeSet<HostId>, changed: &BTreeSet<&HostId>) -> Vec<TableId> {
+        self.kept_out = hosts;
+        let holds =
+            |(_, book): &(&TableId, &mut Book)| changed.iter().any(|host| book.dealt.contains_key(*host));
+        let of = self.books.iter_mut().filter(holds);
+        of.map(|(table, book)| {
+            book.lines = None;
+            *table
+        })
+        .collect()
+    }
+
     /// A table as proxies are to hold it.
     pub(crate) fn lines(&mut self, table: TableId, list: &HostList, now: Time) -> Arc<Lines> {
         let book = self.books.entry(table).or_default();
         if let Some(lines) = &book.lines {
             return lines.clone();
         }
-        let share = |(host, &weight): (&HostId, &f64)| Share { weight, cold: list.is_cold(host, now) };
+        let kept_out = &self.kept_out;
+        let others = book.dealt.keys().any(|host| !kept_out.contains(host) && list.address(host).is_some());
+        let share = |(host, &weight): (&HostId, &f64)| {
+            let weight = if others && kept_out.contains(host) { 0.0 } else { weight };
+            Share { weight, cold: list.is_cold(host, now) }
+        };
         let shares: Vec<Share> = book.dealt.iter().map(share).collect();
         let mut lines = Lines::new();
         book.held_back.clear();
--- a/crates/steward/src/course.rs
+++ b/crates/steward/src/course.rs
@@ -170,7 +170,8 @@
                 }
             }
             Input::Probed { host, for_load, good, load } => self.probed(&host, for_load, good, load),
-            Input::AskedByName { proxy, table } => self.asked_by_name(proxy, table),
+            Input::AskedByName { proxy, table, serial } => self.asked_by_name(proxy, table, serial),
+            Input::Secondary { n, heard } => self.secondary_heard(n, heard),
             Input::Solved { number, plan } => self.solved(number, plan),
             Input::Command { caller, level, line } => {
                 let text = answer(self, level, &line);
@@ -192,6 +193,7 @@
             Input::Lost { proxy: n, .. } => format!("{} lost", proxy(*n)),
             Input::Probed { host, .. } => format!("probe of {host}"),
             Input::AskedByName { proxy: n, .. } => format!("{} asked", n.map_or("somebody", proxy)),
+            Input::Secondary { n, .. } => format!("secondary {n}"),
             Input::Solved { number, .. } => format!("plan {number}"),
             Input::Command { line, .. } => format!("operator: {}", line.chars().take(80).collect::<String>()),
         }
@@ -208,9 +210,8 @@
         let version = self.list.version;
         self.tell(Event::ListTaken { version, open, draining, gone });
         self.steward.list_came(self.now, version, true, listings);
-        if let Some(names) = &mut self.names {
-            names.touch();
-        }
+        self.touch_names();
+        self.find_echoes();
         for table in self.books.readdress(&self.list) {
             self.mark_table(table);
         }
@@ -369,7 +370,7 @@
             }
         }
         self.weigh();
-        self.who_left();
+        self.names_timers();
         let limit = self.links.answer_limit.0;
         let silent = |peer: &Peer| peer.silent_since.is_some_and(|since| now - since >= limit);
         let silent: Vec<u16> = self.peers.iter().filter(|p| silent(p)).map(|p| p.id.0).collect();
--- a/crates/steward/src/follow.rs
+++ b/crates/steward/src/follow.rs
@@ -51,9 +51,7 @@
         let mut lines: BTreeMap<TableId, Vec<(String, f64)>> = BTreeMap::new();
         let mut touched: BTreeSet<TableId> = BTreeSet::new();
         while let Some(ruling) = self.steward.next(self.now) {
-            if let Some(names) = &mut self.names {
-                names.touch();
-            }
+            self.touch_names();
             match ruling {
                 Ruling::Deal { table, host, weight } => {
                     lines.entry(table).or_default().push((host.0.to_string(), weight.unwrap_or(0.0)));
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -5,7 +5,6 @@
 //! - `core`: the core as its surroundings see it.
 //! - `course`, `follow`: the decision module is told what happened, and what it decides is carried out.
 //! - `list`: the hosts as the file and the operators have them.
-//! - `beside`: both of these in the course of things.
 //! - `names`: proxies that take their tables from the DNS front.
 //! - `books`: the tables as the module deals them, and as proxies are to hold them.
 //! - `channel`: how much may be sent, and when.
@@ -14,7 +13,6 @@
 //! - `round`: sums of all proxies gathered into one look.
 //! - `operator`, `zones`: the runtime API of the steward itself, and the map that operators set.
 
-mod beside;
 mod books;
 mod channel;
 mod core;
--- a/crates/steward/src/names.rs
+++ b/crates/steward/src/names.rs
@@ -1,32 +1,62 @@
-//! Proxies that take their tables from the DNS front: joined while they ask, and what is answered to them.
+//! Proxies that take their tables from the DNS front: joined while they ask, what is answered to them, and what may still
+//! be held of it.
 
-use pondarch::types::{ProxyId, Span, Time};
-use pondarch_dns_front::View;
-use pondarch_dns_rules::{Held, Lifetime, Members};
+use crate::course::Course;
+use crate::list::{HostList, Known};
+use crate::peer::Link;
+use crate::wire::{Event, Output, micros};
+use pondarch::types::{HostId, ProxyId, Span, Standing, TableId, Time};
+use pondarch_dns_front::{Line, View};
+use pondarch_dns_rules::{Asked, Heard, Held, Lifetime, Members, Named, Secondaries};
 use pondarch_settings::Site;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 /// Proxies that are tracked at most: those of the settings.
 const MEMBERS_MOST: usize = 60_000;
 /// How late the edge may tell of an answer: it tells of each table and proxy once in this time.
 pub const TOLD_WITHIN: Span = Span::from_millis(200);
+/// How often it is noted that copies of the zone are being answered from.
+const SERVED_EVERY: Span = Span::from_millis(100);
 
 pub(crate) struct Names {
-    pub(crate) members: Members,
-    pub(crate) held: Held,
-    pub(crate) holds: Span,
-    pub(crate) view: Arc<View>,
-    pub(crate) stale: bool,
+    members: Members,
+    held: Held,
+    holds: Span,
+    view: Arc<View>,
+    /// Tables, bindings or the list may have changed since the view was made.
+    stale: bool,
+    /// After its hosts were told away, a table's last answer may be given for so long.
+    last_answer_for: Span,
+    /// When the first such answer must end.
+    last_until: Option<Time>,
+    /// Hosts that started anew and are still met by answers from before, with until when.
+    echoes: BTreeMap<HostId, Time>,
+    secondaries: Secondaries,
+    keys: Vec<String>,
+    served: Time,
 }
 
 impl Names {
     /// None without a DNS front, or with one whose lifetime does not fit its grace, which `check` refuses.
     pub(crate) fn new(site: &Site) -> Option<Names> {
-        let lifetime: Lifetime = site.dns.as_ref()?.lifetime().ok()?;
+        let dns = site.dns.as_ref()?;
+        let lifetime: Lifetime = dns.lifetime().ok()?;
         let holds = lifetime.held() + TOLD_WITHIN;
-        let members = Members::new(holds, MEMBERS_MOST);
-        Some(Names { members, held: Held::default(), holds, view: Arc::default(), stale: true })
+        let spare = dns.grace.0.as_micros().saturating_sub(dns.learns_within.0.as_micros());
+        Some(Names {
+            members: Members::new(holds, MEMBERS_MOST),
+            held: Held::default(),
+            holds,
+            view: Arc::default(),
+            stale: true,
+            last_answer_for: Lifetime::last_answer_for(Span::from_micros(spare)).unwrap_or(Span::ZERO),
+            last_until: None,
+            echoes: BTreeMap::new(),
+            secondaries: Secondaries::new(dns.secondaries.len(), dns.behind.0, dns.expires.0),
+            keys: dns.secondaries.iter().map(|secondary| secondary.key.clone()).collect(),
+            served: Time::default(),
+        })
     }
 
     pub(crate) fn view(&self) -> Arc<View> {
@@ -34,7 +64,11 @@
     }
 
     pub(crate) fn wake_at(&self) -> Option<Time> {
-        self.members.wake_at()
+        let echo = self.echoes.values().min().copied();
+        [self.members.wake_at(), echo, self.last_until, self.secondaries.wake_at()]
+            .into_iter()
+            .flatten()
+            .min()
     }
 
     /// Tables or bindings may have changed.
@@ -55,4 +89,200 @@
     pub(crate) fn lingering(&self, now: Time) -> BTreeMap<String, Time> {
         self.held.lingering(now).into_iter().map(|(host, until)| (host.0.to_string(), until)).collect()
     }
+
+    /// Each secondary by its key: what it holds, and for how long it is behind.
+    pub(crate) fn copies(&self, now: Time) -> BTreeMap<String, String> {
+        let word = |(holds, behind): (Option<u32>, Option<Time>)| {
+            let holds = holds.map_or("nothing yet".to_string(), |serial| format!("holds {serial}"));
+            match behind {
+                Some(since) => format!("{holds}, behind for {:.1} s", (now - since).secs()),
+                None => holds,
+            }
+        };
+        self.keys.iter().cloned().zip(self.secondaries.states().map(word)).collect()
+    }
+
+    /// Hosts of the list that started anew and are still met by answers from before.
+    fn found_echoes(&self, now: Time, list: &HostList) -> BTreeMap<HostId, Time> {
+        let cold =
+            |(host, known): &(&HostId, &Known)| known.standing == Standing::Open && list.is_cold(host, now);
+        let echo = |(host, known): (&HostId, &Known)| {
+            Some((host.clone(), self.held.echo(now, host, known.entry.address, known.started)?))
+        };
+        list.known.iter().filter(cold).filter_map(echo).collect()
+    }
+
+    /// A table's lines as they are to be answered, and whether they are only what it last had.
+    fn lines(
+        &self,
+        now: Time,
+        dealt: &BTreeMap<HostId, f64>,
+        table: TableId,
+        list: &HostList,
+    ) -> (Vec<Line>, Option<Time>) {
+        let line = |(host, weight): (&HostId, &f64)| {
+            let addr = list.address(host).filter(|_| !list.must_go(host))?;
+            Some(Line { host: host.clone(), addr, weight: *weight, cold: list.is_cold(host, now) })
+        };
+        let mut lines: Vec<Line> = dealt.iter().filter_map(line).collect();
+        // One that is kept out is better than none.
+        if lines.iter().any(|line| !self.echoes.contains_key(&line.host)) {
+            lines.retain(|line| !self.echoes.contains_key(&line.host));
+        }
+        if !lines.is_empty() {
+            return (lines, None);
+        }
+        let until = |line: &Line| Some(list.known.get(&line.host)?.told_away? + self.last_answer_for);
+        let still = |line: &&Line| until(line).is_some_and(|until| until > now);
+        let last: Vec<Line> = self.view.lines(table).iter().filter(still).cloned().collect();
+        let ends = last.iter().filter_map(until).min();
+        (last, ends)
+    }
+}
+
+impl Course {
+    /// A table was answered as it was at this serial, to a proxy if it is known which.
+    pub(crate) fn asked_by_name(&mut self, proxy: Option<u16>, table: Option<u16>, serial: u32) {
+        let (now, cause) = (self.now, self.cause.clone());
+        let Some(names) = &mut self.names else { return };
+        if let Some(table) = table {
+            names.held.answered(now, serial, TableId(table), names.holds);
+            if names.view.serial != serial {
+                self.find_echoes();
+            }
+        }
+        let Some(names) = &mut self.names else { return };
+        // Those with a runtime API are joined by it; that they ask for names as well changes nothing.
+        let Some(peer) = proxy.and_then(|n| self.peers.get_mut(n as usize)) else { return };
+        let Link::ByName { joined } = peer.link else { return };
+        if names.members.asked(now, peer.id) == Asked::Joined && !joined {
+            peer.link = Link::ByName { joined: true };
+            let (id, usual, zone, proxy) = (peer.id, peer.usual, peer.zone, peer.name.clone());
+            // Nobody can tell a restart: it counts as one that was there before.
+            self.steward.proxy_joined(now, id, false, usual, zone);
+            self.tell(Event::Joined { proxy, fresh: false, cause });
+        }
+    }
+
+    /// What is due by time: who has left, what caches hold no more, and secondaries that are to be told.
+    pub(crate) fn names_timers(&mut self) {
+        let now = self.now;
+        let Some(names) = &mut self.names else { return };
+        if now - names.served >= SERVED_EVERY {
+            names.served = now;
+            if let Some(serial) = names.secondaries.oldest(now) {
+                names.held.served(now, serial, names.holds);
+            }
+        }
+        if names.last_until.take_if(|until| *until <= now).is_some() {
+            names.stale = true;
+        }
+        let late = names.secondaries.late(now);
+        let late: Vec<String> =
+            late.into_iter().filter_map(|n| names.keys.get(usize::from(n)).cloned()).collect();
+        let left = names.members.left(now);
+        let ended = names.echoes.values().any(|until| *until <= now);
+        for secondary in names.secondaries.say(now) {
+            self.out.push_back(Output::SayChanged { secondary });
+        }
+        late.into_iter().for_each(|secondary| self.tell(Event::SecondaryLate { secondary }));
+        for id in left {
+            let peer = &mut self.peers[id.0 as usize];
+            peer.link = Link::ByName { joined: false };
+            peer.bound.clear();
+            let proxy = peer.name.clone();
+            self.steward.proxy_left(now, id);
+            self.tell(Event::Left { proxy, why: "has not asked for its hosts".into() });
+        }
+        if ended {
+            self.find_echoes();
+        }
+    }
+
+    pub(crate) fn secondary_heard(&mut self, n: u16, heard: Heard) {
+        let now = self.now;
+        if let Some(names) = &mut self.names {
+            names.secondaries.heard(now, usize::from(n), heard);
+        }
+    }
+
+    /// Hosts that started anew under the same name and address are kept out of all tables, of both fronts, until the
+    /// answers of their old, heavy lines have run out: what caches bring such a host cannot be taken back, and with
+    /// its new line on top it could be pushed over.
+    pub(crate) fn find_echoes(&mut self) {
+        let now = self.now;
+        let Some(names) = &mut self.names else { return };
+        let found = names.found_echoes(now, &self.list);
+        let before = std::mem::replace(&mut names.echoes, found);
+        let names = &self.names.as_ref().map(|names| names.echoes.clone()).unwrap_or_default();
+        let changed: BTreeSet<&HostId> = before
+            .keys()
+            .filter(|host| !names.contains_key(*host))
+            .chain(names.keys().filter(|host| !before.contains_key(*host)))
+            .collect();
+        if changed.is_empty() {
+            return;
+        }
+        for table in self.books.keep_out(names.keys().cloned().collect(), &changed) {
+            self.mark_table(table);
+        }
+        for (host, until) in names.iter().filter(|(host, _)| !before.contains_key(*host)) {
+            let (host, for_s) = (host.0.to_string(), (*until - now).secs());
+            self.tell(Event::KeptOut { host, for_s });
+        }
+        self.touch_names();
+    }
+
+    pub(crate) fn touch_names(&mut self) {
+        if let Some(names) = &mut self.names {
+            names.touch();
+        }
+    }
+
+    /// What is to be answered from now on, if it changed.
+    pub(crate) fn renew_view(&mut self) {
+        let now = self.now;
+        let Some(names) = self.names.as_mut().filter(|names| names.stale) else { return };
+        names.stale = false;
+        let list = &self.list;
+        let (mut tables, mut last) = (BTreeMap::new(), BTreeSet::new());
+        names.last_until = None;
+        for (table, book) in &self.books.books {
+            let (lines, until) = names.lines(now, &book.dealt, *table, list);
+            if let Some(until) = until {
+                last.insert(*table);
+                names.last_until = Some(names.last_until.map_or(until, |other| other.min(until)));
+            }
+            tables.insert(*table, lines);
+        }
+        let by_name = self.peers.iter().filter(|peer| matches!(peer.link, Link::ByName { joined: true }));
+        let bound: BTreeMap<_, TableId> = by_name
+            .flat_map(|peer| peer.bound.iter().map(|(kind, table)| ((peer.id, *kind), *table)))
+            .collect();
+        let hosts = list.known.iter().map(|(host, known)| (host.clone(), known.entry.address)).collect();
+        let old = &names.view;
+        let view = View { serial: old.serial, tables, bound, hosts, last };
+        if view == **old {
+            return;
+        }
+        // Seconds since 1970, so that a steward that starts again never goes back.
+        let serial = old.serial.wrapping_add(1).max((micros(now) / 1_000_000) as u32);
+        for (table, lines) in &view.tables {
+            if old.tables.get(table) != Some(lines) {
+                let all: f64 = lines.iter().map(|line| line.weight).sum();
+                let named = |line: &Line| {
+                    let started = list.known.get(&line.host).map(|known| known.started).unwrap_or_default();
+                    (line.host.clone(), Named { part: line.weight / all.max(1e-9), addr: line.addr, started })
+                };
+                names.held.changed(now, serial, *table, lines.iter().map(named).collect());
+            }
+        }
+        names.view = Arc::new(View { serial, ..view });
+        self.out.push_back(Output::ViewChanged { serial });
+        // After the view, so that what they fetch is it.
+        names.secondaries.changed(now, serial);
+        for secondary in names.secondaries.say(now) {
+            self.out.push_back(Output::SayChanged { secondary });
+        }
+    }
 }
--- a/crates/steward/src/operator.rs
+++ b/crates/steward/src/operator.rs
@@ -79,7 +79,7 @@
             core.events.iter().map(line).collect()
         }
         Command::ShowMaps => {
-            let names = ["levels", "tries", "proxies", "weights", "lingering", ZONES];
+            let names = ["levels", "tries", "proxies", "weights", "lingering", "secondaries", ZONES];
             let line = |(n, name): (usize, &&str)| format!("{n} ({name}) pondarch: {}\n", of_map(name));
             std::iter::once("# id (file) description\n".to_string())
                 .chain(names.iter().enumerate().map(line))
@@ -188,6 +188,7 @@
         "tries" => "when proxies try again, by table and kind",
         "proxies" => "each proxy's link and table",
         "lingering" => "hosts in no table that DNS caches may still hold, and for how many seconds",
+        "secondaries" => "copies of the DNS zone: what each holds, and for how long it is behind",
         "weights" => "the weight that decisions go by, by host",
         _ => "zone by host; can be set",
     }
@@ -231,6 +232,7 @@
             let left = |(host, until): (String, Time)| (host, format!("{:.1}", (until - core.now).secs()));
             Some(lingering.into_iter().map(left).collect())
         }
+        "secondaries" => Some(core.names.as_ref().map(|names| names.copies(core.now)).unwrap_or_default()),
         "weights" => {
             let of = |(id, known): (&HostId, &Known)| {
                 let handed = core.list.handed.get(id).copied().unwrap_or(known.entry.weight);
--- a/crates/steward/src/wire.rs
+++ b/crates/steward/src/wire.rs
@@ -1,6 +1,7 @@
 //! What goes into a steward's core and what comes out of it. Both can be recorded.
 
 use pondarch::types::{Load, Span, Time};
+use pondarch_dns_rules::Heard;
 use pondarch_settings::HostEntry;
 use pondarch_weights::{Fleet, Plan};
 use serde::{Deserialize, Serialize};
@@ -41,10 +42,17 @@
         good: bool,
         load: Option<LoadTold>,
     },
-    /// The DNS front gave a table away, to a proxy if it is known which; told once in a while for many answers.
+    /// The DNS front gave a table away as it was at this serial, to a proxy if it is known which; told once in a while
+    /// for many answers.
     AskedByName {
         proxy: Option<u16>,
         table: Option<u16>,
+        serial: u32,
+    },
+    /// Something was heard of a secondary.
+    Secondary {
+        n: u16,
+        heard: Heard,
     },
     /// The solver's word on a problem.
     Solved {
@@ -95,6 +103,10 @@
     ViewChanged {
         serial: u32,
     },
+    /// A secondary is to be told that the zone has changed.
+    SayChanged {
+        secondary: u16,
+    },
     /// A fleet to plan for, beside all else; one at a time.
     Solve {
         number: u64,
@@ -178,6 +190,15 @@
     PlanFailed {
         wrong: String,
     },
+    /// A host that started anew is left out of all tables while DNS caches hold answers from before its start.
+    KeptOut {
+        host: String,
+        for_s: f64,
+    },
+    /// A secondary has not fetched a change for longer than it may be behind: drains are not kept there.
+    SecondaryLate {
+        secondary: String,
+    },
     /// A cold host's line is too light to be told in whole numbers.
     HeldBack {
         table: u16,
