--- a/crates/cli/src/rehearse.rs
+++ b/crates/cli/src/rehearse.rs
@@ -1,7 +1,7 @@
 //! `pondarch rehearse`: plays troubles on loopback, with this same program as the stewards.
 
 use crate::failed;
-use clap::{Args, Subcommand};
+use clap::{Args, Subcommand, ValueEnum};
 use pondarch_rehearsal::bad_day::RehearsalError;
 use pondarch_rehearsal::{bad_day, storm, trial, weighing};
 use serde::Serialize;
@@ -17,6 +17,9 @@
         /// A day of a third of the length and half of the size.
         #[arg(long)]
         short: bool,
+        /// How proxies get their tables.
+        #[arg(long, value_enum, default_value_t = Fronts::Runtime)]
+        fronts: Fronts,
         #[command(flatten)]
         show: Show,
     },
@@ -52,6 +55,14 @@
     },
 }
 
+#[derive(Clone, Copy, ValueEnum)]
+pub(crate) enum Fronts {
+    Runtime,
+    /// From DNS, by plain proxies with a cache.
+    Names,
+    Both,
+}
+
 #[derive(Args)]
 pub(crate) struct Show {
     /// Prints the figures as JSON.
@@ -100,9 +111,14 @@
 async fn played(scene: Scene) -> Result<bool, String> {
     let program = std::env::current_exe().map_err(|wrong| format!("cannot find this program: {wrong}"))?;
     match scene {
-        Scene::BadDay { seed, short, show } => {
+        Scene::BadDay { seed, short, fronts, show } => {
             let folder = show.folder()?;
             let plan = if short { bad_day::Plan::short(seed) } else { bad_day::Plan::full(seed) };
+            let plan = plan.by(match fronts {
+                Fronts::Runtime => bad_day::Fronts::Runtime,
+                Fronts::Names => bad_day::Fronts::Names,
+                Fronts::Both => bad_day::Fronts::Both,
+            });
             let report = bad_day::play(plan, &program, &folder).await.map_err(|wrong| wrong.to_string())?;
             show.print(&report, report.text())?;
             if report.rules_held() {
--- a/crates/cli/tests/names.rs
+++ b/crates/cli/tests/names.rs
@@ -1,5 +1,7 @@
 //! The DNS front of a real steward, asked like any client does.
 
+use pondarch_dns_front::Key;
+use pondarch_rehearsal::secondary::Secondary;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
@@ -11,6 +13,9 @@
     child: Option<Child>,
 }
 
+/// 32 bytes of 7.
+const SECRET: &str = "BwcHBwcHBwcHBwcHBwcHBwcHBwcHBwcHBwcHBwcHBwc=\n";
+
 /// A port that both protocols have free.
 fn free() -> SocketAddr {
     loop {
@@ -24,7 +29,13 @@
 
 impl Steward {
     fn start() -> Steward {
-        let (folder, dns) = (tempfile::tempdir().expect("a folder"), free());
+        Steward::start_at(free(), "")
+    }
+
+    /// With more settings for DNS.
+    fn start_at(dns: SocketAddr, more: &str) -> Steward {
+        let folder = tempfile::tempdir().expect("a folder");
+        std::fs::write(folder.path().join("second.key"), SECRET).expect("a secret");
         let site = format!(
             "{{ name: 'named', zones: ['ede'],
             kinds: [{{ name: 'proof', response_target: '1 s', client_timeout: '4 s', benefit: 1, repeats: 'replayable' }}],
@@ -32,7 +43,7 @@
             hosts_file: 'hosts.jsonnet',
             channel: {{ lines_per_second: 4000, most_waiting: 4000, message_cap: 12, message_window: '10 s' }},
             cold: {{ start_share: 0.17, warm_within: '18 s' }},
-            dns: {{ zone: 'pond.test', listen: '{dns}', grace: '4 s', answers_per_second: 1000 }},
+            dns: {{ zone: 'pond.test', listen: '{dns}', grace: '4 s', answers_per_second: 1000{more} }},
             runtime_api: [{{ listen: 'unix:admin.sock', level: 'admin' }}] }}"
         );
         std::fs::write(folder.path().join("site.jsonnet"), site).expect("settings");
@@ -94,6 +105,12 @@
         String::from_utf8_lossy(&output.stdout).into_owned()
     }
 
+    fn figure(&self, name: &str) -> String {
+        let text = self.ctl("show info");
+        let line = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(": "));
+        line.unwrap_or_default().to_string()
+    }
+
     fn until(&self, what: &str, holds: impl Fn() -> bool) {
         let deadline = Instant::now() + Duration::from_secs(10);
         while !holds() {
@@ -170,3 +187,55 @@
     let (code, text) = check(&wrong);
     assert!(code == Some(2) && text.contains("is absent, and there is no dns"), "{text}");
 }
+
+/// Copies follow by signed differences; one that is cut off is said to be behind and catches up; a steward that starts anew
+/// serves it the whole zone again, with a serial that goes on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_secondary_follows_is_cut_off_and_catches_up() {
+    let dns = free();
+    let key = Key::new("second.pond.test", vec![7; 32]).expect("a key");
+    let second = Secondary::start("pond.test", dns, key.clone()).await.expect("a socket");
+    let stranger =
+        Secondary::start("pond.test", dns, Key::new("second.pond.test", vec![8; 32]).expect("a key"));
+    let stranger = stranger.await.expect("a socket");
+    let of = format!("{{ address: '{}', key: 'second.pond.test', secret_file: 'second.key' }}", second.addr);
+    let more = format!(", lifetime: 1, behind: '400 ms', expires: '30 s', secondaries: [{of}]");
+    let mut steward = Steward::start_at(dns, &more);
+    let name = "_proof._tcp.plain.pond.test";
+    let hosts = || {
+        let lines = second.copy().services(name);
+        lines
+            .into_iter()
+            .map(|(_, target)| target.split('.').next().unwrap_or("").to_string())
+            .collect::<Vec<_>>()
+    };
+    steward.until("a copy", || hosts().len() == 6);
+    assert!(second.counts().1 >= 1, "it was told");
+    let told = Instant::now();
+    steward.list(Some(2));
+    steward.until("the drain in the copy", || !hosts().contains(&"host-2".to_string()));
+    assert!(told.elapsed() < Duration::from_millis(1_500), "{:?}", told.elapsed());
+    assert_eq!(hosts().len(), 5);
+    steward.until("known", || steward.ctl("show map secondaries").contains("second.pond.test holds"));
+    steward.until("not behind", || !steward.ctl("show map secondaries").contains("behind"));
+    second.cut.store(true, std::sync::atomic::Ordering::Relaxed);
+    steward.list(Some(3));
+    steward.until("behind", || steward.ctl("show map secondaries").contains("behind"));
+    steward.until("said", || steward.ctl("show events").contains("SecondaryLate"));
+    assert!(hosts().contains(&"host-3".to_string()) && steward.ctl("show map lingering").contains("host-3"));
+    second.cut.store(false, std::sync::atomic::Ordering::Relaxed);
+    steward.until("caught up", || !hosts().contains(&"host-3".to_string()));
+    steward.until("ran out", || !steward.ctl("show map lingering").contains("host-3"));
+    let before = second.copy().serial;
+    let mut child = steward.child.take().expect("a process");
+    child.kill().expect("killed");
+    child.wait().expect("gone");
+    steward.run();
+    steward.until("the new steward's copy", || second.copy().serial > before);
+    steward.until("its hosts", || hosts().len() == 5);
+    let serial = steward.figure("NamesSerial");
+    steward.until("the same", || {
+        second.copy().serial.map(|serial| serial.to_string()).as_ref() == Some(&serial)
+    });
+    assert_eq!(stranger.copy().serial, None, "without the secret there is no copy");
+}
--- a/crates/daemon/src/probe.rs
+++ b/crates/daemon/src/probe.rs
@@ -39,6 +39,8 @@
             busy: report.busy,
             queue: report.queue,
             service_ms: report.latency_ms,
+            rate: report.rate,
+            errored_rate: report.errored_rate,
         });
         // If the daemon is gone, nobody needs to know.
         self.inputs.send(Input::Probed { host, for_load, good: report.is_some(), load }).await.ok();
--- a/crates/dns-front/src/ask.rs
+++ b/crates/dns-front/src/ask.rs
@@ -1,7 +1,9 @@
 //! The asking side: a question as a packet, and what an answer says, in plain lines.
 
 use hickory_proto::op::{Edns, Message, MessageType, OpCode, Query};
-use hickory_proto::rr::{Name, Record, RecordType};
+use hickory_proto::rr::{Name, RData, Record, RecordType};
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
 use std::str::FromStr;
 use thiserror::Error;
 
@@ -66,3 +68,39 @@
         others: message.authorities.iter().chain(&message.additionals).map(line).collect(),
     })
 }
+
+/// One host of an answer to a question for SRV.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Service {
+    /// The target's name without its last dot.
+    pub target: String,
+    pub weight: u16,
+    /// If the answer brings the target's address.
+    pub addr: Option<SocketAddr>,
+    /// Lifetime in seconds.
+    pub ttl_s: u32,
+}
+
+/// The hosts that an answer names, beside what `read` gives.
+///
+/// Errors: as `read`.
+pub fn services(id: u16, packet: &[u8]) -> Result<(Answer, Vec<Service>), AskError> {
+    let answer = read(id, packet)?;
+    let message = Message::from_vec(packet).map_err(|wrong| AskError::Broken(wrong.to_string()))?;
+    let address = |record: &Record| match &record.data {
+        RData::A(a) => Some((record.name.to_lowercase(), IpAddr::V4(a.0))),
+        RData::AAAA(aaaa) => Some((record.name.to_lowercase(), IpAddr::V6(aaaa.0))),
+        _ => None,
+    };
+    let addresses: BTreeMap<Name, IpAddr> = message.additionals.iter().filter_map(address).collect();
+    let service = |record: &Record| match &record.data {
+        RData::SRV(srv) => Some(Service {
+            target: srv.target.to_ascii().trim_end_matches('.').to_string(),
+            weight: srv.weight,
+            addr: addresses.get(&srv.target.to_lowercase()).map(|ip| SocketAddr::new(*ip, srv.port)),
+            ttl_s: record.ttl,
+        }),
+        _ => None,
+    };
+    Ok((answer, message.answers.iter().filter_map(service).collect()))
+}
--- a/crates/dns-front/src/fetch.rs
+++ b/crates/dns-front/src/fetch.rs
@@ -36,6 +36,25 @@
     pub expire_s: u32,
 }
 
+impl Copy {
+    /// What a secondary would answer for a name as SRV: weight and target of each line, aliases followed.
+    pub fn services(&self, name: &str) -> Vec<(u16, String)> {
+        let Ok(mut name) = Name::from_ascii(name.to_ascii_lowercase()) else { return Vec::new() };
+        name.set_fqdn(true);
+        let of = |name: &Name, of: RecordType| {
+            let found = self.records.iter().filter(move |(own, kind, _)| *own == *name && *kind == of);
+            found.map(|(_, _, data)| data.clone()).collect::<Vec<_>>()
+        };
+        let alias = of(&name, RecordType::CNAME).into_iter().next().and_then(|to| Name::from_ascii(to).ok());
+        let line = |data: String| {
+            let mut words = data.split_whitespace().skip(1);
+            let (weight, target) = (words.next()?.parse().ok()?, words.nth(1)?);
+            Some((weight, target.trim_end_matches('.').to_string()))
+        };
+        of(&alias.unwrap_or(name), RecordType::SRV).into_iter().filter_map(line).collect()
+    }
+}
+
 /// A transfer under way.
 pub struct Fetch {
     verifier: TSigVerifier,
@@ -108,7 +127,7 @@
         let ends = |record: &Record| matches!(&record.data, RData::SOA(soa) if soa.serial == newest.serial);
         // Differences name the newest serial once before their last additions, and once to end.
         let by_steps = matches!(&self.got[1].data, RData::SOA(_));
-        let ended = self.got[1..].iter().filter(|record| ends(record)).count() >= 1 + usize::from(by_steps);
+        let ended = self.got[1..].iter().filter(|record| ends(record)).count() > usize::from(by_steps);
         if !ended || !self.got.last().is_some_and(ends) {
             return Ok(Fetched::More);
         }
--- a/crates/load-report/src/lib.rs
+++ b/crates/load-report/src/lib.rs
@@ -2,9 +2,9 @@
 //!
 //! Source: the open request cost aggregation (ORCA) load report, "per-request" mode: the value is a format's name
 //! and the report, `TEXT cpu_utilization=0.62, named_metrics.queue=3` or `JSON {"cpu_utilization": 0.62}`. The third
-//! format, `BIN` with a base64 message, is passed over. Of the fields, `cpu_utilization` (share of all cores, 0 to 1)
-//! is the published one; `named_metrics` are the sender's own: here `queue` (reqs waiting) and `latency_ms` (recent
-//! service time without waiting, milliseconds).
+//! format, `BIN` with a base64 message, is passed over. Of the fields, `cpu_utilization` (share of all cores, 0 to 1),
+//! `rps_fractional` (reqs ended a second) and `eps` (of those, errored) are published ones; `named_metrics` are the
+//! sender's own: here `queue` (reqs waiting) and `latency_ms` (recent service time without waiting, milliseconds).
 
 use serde_json::Value;
 use std::fmt::Write;
@@ -19,6 +19,9 @@
     pub busy: Option<f64>,
     pub queue: Option<f64>,
     pub latency_ms: Option<f64>,
+    /// Reqs that ended a second, and those of them that errored.
+    pub rate: Option<f64>,
+    pub errored_rate: Option<f64>,
 }
 
 impl Report {
@@ -56,6 +59,8 @@
         let mut out = String::from("TEXT ");
         let parts = [
             ("cpu_utilization", self.busy),
+            ("rps_fractional", self.rate),
+            ("eps", self.errored_rate),
             ("named_metrics.queue", self.queue),
             ("named_metrics.latency_ms", self.latency_ms),
         ];
@@ -70,6 +75,8 @@
         let figure = figure.filter(|figure| figure.is_finite() && *figure >= 0.0);
         match name {
             "cpu_utilization" => self.busy = figure.or(self.busy),
+            "rps_fractional" => self.rate = figure.or(self.rate),
+            "eps" => self.errored_rate = figure.or(self.errored_rate),
             "named_metrics.queue" => self.queue = figure.or(self.queue),
             "named_metrics.latency_ms" => self.latency_ms = figure.or(self.latency_ms),
             _ => {}
@@ -84,10 +91,11 @@
 
     #[test]
     fn both_formats_give_the_same() {
-        let report = Report { busy: Some(0.62), queue: Some(3.0), latency_ms: Some(48.25) };
+        let (queue, latency_ms) = (Some(3.0), Some(48.25));
+        let report =
+            Report { busy: Some(0.62), queue, latency_ms, rate: Some(12.5), errored_rate: Some(1.0) };
         assert_eq!(Report::read(&report.write()), report);
-        let json =
-            r#"JSON {"cpu_utilization": 0.62, "named_metrics": {"queue": 3, "latency_ms": 48.25}, "eps": 1}"#;
+        let json = r#"JSON {"cpu_utilization": 0.62, "named_metrics": {"queue": 3, "latency_ms": 48.25}, "eps": 1, "rps_fractional": 12.5}"#;
         assert_eq!(Report::read(json), report);
     }
 
--- a/crates/rehearsal/src/bad_day.rs
+++ b/crates/rehearsal/src/bad_day.rs
@@ -33,6 +33,27 @@
     Report(#[from] minijinja::Error),
 }
 
+/// How proxies get their tables.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fronts {
+    Runtime,
+    /// From DNS, by plain proxies with a cache.
+    Names,
+    /// Half of them each way, at each steward.
+    Both,
+}
+
+impl Fronts {
+    /// Whether the proxy at this place asks by name.
+    fn by_name(self, n: usize, stewards: usize) -> bool {
+        match self {
+            Fronts::Runtime => false,
+            Fronts::Names => true,
+            Fronts::Both => (n / stewards) % 2 == 1,
+        }
+    }
+}
+
 /// How a day is played. All spans are real time.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -40,6 +61,7 @@
     pub hosts: usize,
     pub proxies: usize,
     pub stewards: usize,
+    pub fronts: Fronts,
     /// Reqs a second, all proxies together.
     pub rate: f64,
     /// Undisturbed spans: before the first trouble, and between two.
@@ -64,6 +86,7 @@
             hosts: 20,
             proxies: 12,
             stewards: 2,
+            fronts: Fronts::Runtime,
             rate: 160.0,
             opening: Duration::from_secs(8),
             calm: Duration::from_secs(5),
@@ -96,6 +119,13 @@
             ..Plan::full(seed)
         }
     }
+
+    /// The same day with proxies that get their tables in another way. Answers by name live for whole seconds, so that
+    /// the grace is longer there.
+    pub fn by(self, fronts: Fronts) -> Plan {
+        let grace = if fronts == Fronts::Runtime { self.limits.grace } else { Duration::from_secs(4) };
+        Plan { fronts, limits: Limits { grace, ..self.limits }, ..self }
+    }
 }
 
 pub(crate) fn limits() -> Limits {
@@ -176,7 +206,18 @@
     played.push(end(facts, "a rolling deploy", began, None));
     sleep(plan.calm).await;
 
+    let again = stage.some_host(&mut chance, "amersfoort");
+    let began = begin(facts, "a host starts anew under its name");
+    stage.restart_host(&again).await?;
+    sleep(plan.warm_within).await;
+    played.push(end(facts, "a host starts anew under its name", began, None));
+    sleep(plan.calm).await;
+
     for (name, proxy) in [("a socket drops halfway", 0), ("a batch comes twice", 1)] {
+        // Only runtime sockets carry orders.
+        if stage.proxies.len() <= proxy {
+            continue;
+        }
         let began = begin(facts, name);
         let faults = stage.proxies[proxy].faults();
         let before = faults.used.load(Relaxed);
--- a/crates/rehearsal/src/bad_day/stage.rs
+++ b/crates/rehearsal/src/bad_day/stage.rs
@@ -1,13 +1,15 @@
 //! All that a day needs: hosts, proxies, the list, stewards.
 
-use super::{Plan, RehearsalError};
-use crate::client::{self, Kind};
+use super::{Fronts, Plan, RehearsalError};
+use crate::by_name::ByName;
+use crate::client::{self, Kind, Way};
 use crate::facts::{Fact, Facts, Listed};
 use crate::front::Front;
 use crate::host::{Host, Make, Trouble};
 use crate::site::{Entry, List, spawn, write_settings};
 use serde_json::json;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -18,6 +20,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
 
+/// The zone of names that stewards answer for.
+const DNS_ZONE: &str = "pond.test";
 const ZONES: [&str; 4] = ["ede", "arnhem", "utrecht", "amersfoort"];
 /// How long all proxies may take to be joined at the start, in seconds.
 const JOIN_LIMIT_S: u64 = 10;
@@ -42,6 +46,8 @@
 pub(super) struct Stage {
     hosts: BTreeMap<String, Host>,
     pub(super) proxies: Vec<Front>,
+    /// Plain proxies that ask by name.
+    names: crate::by_name::Fronts,
     pub(super) list: List,
     stewards: Vec<Option<Child>>,
     program: PathBuf,
@@ -79,21 +85,31 @@
             list.extend(hosts.values().map(|host| (host.make.name.clone(), entry(host, None))))
         })
         .map_err(failed("the list cannot be written"))?;
-        let mut proxies = Vec::new();
+        let dns: Vec<SocketAddr> = (0..plan.stewards).map(|_| free_port()).collect::<Result<_, _>>()?;
+        let (mut proxies, mut names) = (Vec::new(), Vec::new());
         for n in 0..plan.proxies {
             let zone = ZONES[n % ZONES.len()];
             let (name, seed) = (format!("front-{n}"), plan.seed.wrapping_mul(1_000) + n as u64);
+            if plan.fronts.by_name(n, plan.stewards) {
+                let mut servers = dns.clone();
+                servers.rotate_left(n % plan.stewards);
+                let kinds: Vec<&'static str> = kinds().iter().map(|kind| kind.name).collect();
+                let front = ByName::new(&name, DNS_ZONE, servers, &kinds, seed, facts.clone());
+                names.push(Arc::new(front));
+                continue;
+            }
             proxies
                 .push(Front::start(&name, zone, &ZONES, &kinds(), list.file(), seed, facts.clone()).await?);
         }
         for s in 0..plan.stewards {
-            write_settings(&folder.join(format!("steward-{s}.jsonnet")), &settings(plan, s))
+            write_settings(&folder.join(format!("steward-{s}.jsonnet")), &settings(plan, s, dns[s]))
                 .map_err(failed("settings cannot be written"))?;
         }
         let sockets = (0..plan.stewards).map(|s| folder.join(format!("steward-{s}.sock"))).collect();
         let mut stage = Stage {
             hosts,
             proxies,
+            names,
             list,
             stewards: (0..plan.stewards).map(|_| None).collect(),
             program: program.to_path_buf(),
@@ -148,6 +164,28 @@
         }
     }
 
+    /// A host's process ends, and another starts cold under its name and address; the list says so at once.
+    pub(super) async fn restart_host(&mut self, name: &str) -> Result<(), RehearsalError> {
+        let Some(old) = self.hosts.remove(name) else { return Ok(()) };
+        let (make, addr) = (Make { warm: false, ..old.make.clone() }, old.addr);
+        drop(old);
+        let deadline = Instant::now() + Duration::from_secs(2);
+        let host = loop {
+            // The old process's sockets close in their own time.
+            match Host::start(make.clone(), Some(addr), self.facts.clone()).await {
+                Ok(host) => break host,
+                Err(_) if Instant::now() < deadline => sleep(Duration::from_millis(5)).await,
+                Err(wrong) => return Err(failed("a host cannot be started again")(wrong)),
+            }
+        };
+        self.hosts.insert(name.to_string(), host);
+        let started = now_s();
+        let change = |list: &mut BTreeMap<String, Entry>| {
+            list.entry(name.to_string()).and_modify(|entry| entry.started = Some(started));
+        };
+        self.list.change(change).map_err(failed("the list cannot be written"))
+    }
+
     /// How long the script takes at least, with some room for what it waits for.
     pub(super) fn spans(&self, plan: &Plan) -> Duration {
         let batch = plan.limits.grace.max(plan.between_batches) + Duration::from_millis(200);
@@ -156,7 +194,8 @@
             + plan.silent
             + batch * plan.deploy.len() as u32
             + plan.warm_within / 2
-            + plan.calm * 6
+            + plan.warm_within
+            + plan.calm * 7
             + Duration::from_secs(4)
             + plan.steward_away
             + plan.wrong_list
@@ -165,21 +204,15 @@
     pub(super) fn clients(&self, plan: &Plan, until: Instant) -> impl Future<Output = ()> + Send + use<> {
         let ids = Arc::new(AtomicU64::new(1));
         let mut chance = fastrand::Rng::with_seed(plan.seed ^ 0x5eed);
+        let by_proxy = self.proxies.iter().map(|proxy| Way::Proxy(client::Client::new(proxy.addr)));
+        let ways: Vec<Way> = by_proxy.chain(self.names.iter().cloned().map(Way::Names)).collect();
         // Proxies get unequal parts of the traffic.
-        let parts: Vec<f64> = self.proxies.iter().map(|_| 0.5 + chance.f64()).collect();
+        let parts: Vec<f64> = ways.iter().map(|_| 0.5 + chance.f64()).collect();
         let sum: f64 = parts.iter().sum();
         let mut asking = tokio::task::JoinSet::new();
-        for (proxy, part) in self.proxies.iter().zip(parts) {
+        for (way, part) in ways.into_iter().zip(parts) {
             let (rate, seed) = (plan.rate * part / sum, chance.u64(..));
-            asking.spawn(client::ask(
-                client::Client::new(proxy.addr),
-                kinds(),
-                rate,
-                until,
-                ids.clone(),
-                seed,
-                self.facts.clone(),
-            ));
+            asking.spawn(client::ask(way, kinds(), rate, until, ids.clone(), seed, self.facts.clone()));
         }
         async move { while asking.join_next().await.is_some() {} }
     }
@@ -209,8 +242,7 @@
             let Some(host) = self.hosts.get(name) else { continue };
             let make = Make { name: format!("{name}-new"), warm: false, ..host.make.clone() };
             let host = Host::start(make, None, self.facts.clone()).await.map_err(failed("a successor"))?;
-            let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64();
-            new.push((host.make.name.clone(), entry(&host, Some(started))));
+            new.push((host.make.name.clone(), entry(&host, Some(now_s()))));
             self.hosts.insert(host.make.name.clone(), host);
         }
         self.list
@@ -263,7 +295,28 @@
     move |wrong| RehearsalError::Io { what: what.into(), wrong }
 }
 
-fn settings(plan: &Plan, steward: usize) -> serde_json::Value {
+fn now_s() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64()
+}
+
+/// A port that UDP and TCP both have free.
+fn free_port() -> Result<SocketAddr, RehearsalError> {
+    let mut wrong = None;
+    for _ in 0..20 {
+        let both = std::net::UdpSocket::bind("127.0.0.1:0").and_then(|udp| {
+            let at = udp.local_addr()?;
+            std::net::TcpListener::bind(at).map(|_| at)
+        });
+        match both {
+            Ok(at) => return Ok(at),
+            Err(other) => wrong = Some(other),
+        }
+    }
+    let wrong = wrong.unwrap_or_else(|| std::io::ErrorKind::AddrInUse.into());
+    Err(failed("no port for DNS")(wrong))
+}
+
+fn settings(plan: &Plan, steward: usize, dns: SocketAddr) -> serde_json::Value {
     let ms = |span: Duration| format!("{} ms", span.as_millis());
     let kind = |kind: &Kind| {
         let repeats = match kind.name {
@@ -274,12 +327,20 @@
         json!({"name": kind.name, "response_target": ms(kind.response_target),
             "client_timeout": ms(kind.client_timeout), "benefit": kind.benefit, "repeats": repeats})
     };
-    let own = (0..plan.proxies).filter(|n| n % plan.stewards == steward);
+    let by_name = |n: usize| plan.fronts.by_name(n, plan.stewards);
+    // A plain proxy may ask any steward; the others have one each.
+    let own = (0..plan.proxies).filter(|n| n % plan.stewards == steward || by_name(*n));
     let proxy = |n: usize| {
-        json!({"name": format!("front-{n}"), "zone": ZONES[n % ZONES.len()],
-            "runtime": format!("unix:front-{n}.sock"), "usual_rate": plan.rate / plan.proxies as f64})
+        let (name, zone) = (format!("front-{n}"), ZONES[n % ZONES.len()]);
+        let usual = plan.rate / plan.proxies as f64;
+        match by_name(n) {
+            true => json!({"name": name, "zone": zone, "usual_rate": usual}),
+            false => {
+                json!({"name": name, "zone": zone, "runtime": format!("unix:front-{n}.sock"), "usual_rate": usual})
+            }
+        }
     };
-    json!({
+    let mut settings = json!({
         "name": format!("steward-{steward}"),
         "zones": ZONES,
         "kinds": kinds().iter().map(kind).collect::<Vec<_>>(),
@@ -293,7 +354,14 @@
         "probes": {"path": "/health"},
         "crossing_price": 0.06,
         "runtime_api": [{"listen": format!("unix:steward-{steward}.sock"), "level": "admin"}],
-    })
+    });
+    if plan.fronts != Fronts::Runtime {
+        settings["dns"] = json!({"zone": DNS_ZONE, "listen": dns, "grace": ms(plan.limits.grace),
+            "answers_per_second": 2000});
+        // DNS brings no sums: hosts are asked for what they say of themselves.
+        settings["probes"] = json!({"path": "/health", "load_every": "500 ms", "time_limit": "400 ms"});
+    }
+    settings
 }
 
 /// Asks the stewards' own sockets how many lines wait.
--- a/crates/rehearsal/src/client.rs
+++ b/crates/rehearsal/src/client.rs
@@ -1,5 +1,6 @@
 //! A paced client: reqs of each kind at drawn times over HTTP, whether the former ones are answered or not.
 
+use crate::by_name::ByName;
 use crate::facts::{Fact, Facts, How};
 use http_body_util::{BodyExt, Empty};
 use hyper::Request;
@@ -67,9 +68,26 @@
     }
 }
 
+/// Which way reqs go.
+#[derive(Clone)]
+pub enum Way {
+    Proxy(Client),
+    /// By a plain proxy that takes its hosts from DNS.
+    Names(Arc<ByName>),
+}
+
+impl Way {
+    async fn send(&self, kind: &'static str, id: u64, work: Duration, client_timeout: Duration) -> How {
+        match self {
+            Way::Proxy(client) => client.send(kind, id, work, client_timeout).await,
+            Way::Names(proxy) => proxy.send(kind, id, work, client_timeout).await,
+        }
+    }
+}
+
 /// Asks `rate` reqs a second of one proxy until `until`, then waits for the last to end.
 pub async fn ask(
-    client: Client,
+    way: Way,
     kinds: Vec<Kind>,
     rate: f64,
     until: Instant,
@@ -100,11 +118,11 @@
         let id = ids.fetch_add(1, Relaxed);
         // A fifth either way, as jobs differ.
         let work = kind.work.mul_f64(0.8 + 0.4 * chance.f64());
-        let (client, facts) = (client.clone(), facts.clone());
+        let (way, facts) = (way.clone(), facts.clone());
         open.spawn(async move {
             let (asked, name) = (Instant::now(), kind.name.to_string());
             facts.note(Fact::Asked { kind: name.clone(), req: id });
-            let how = client.send(kind.name, id, work, kind.client_timeout).await;
+            let how = way.send(kind.name, id, work, kind.client_timeout).await;
             facts.note(Fact::Ended { kind: name, req: id, how, took: asked.elapsed() });
         });
     }
--- a/crates/rehearsal/src/host.rs
+++ b/crates/rehearsal/src/host.rs
@@ -72,7 +72,12 @@
     /// Core seconds used in this period, and when it began.
     used: f64,
     since: Instant,
+    /// Reqs that ended and that were refused in this period.
+    ended: u32,
+    refused: u32,
     last: f64,
+    /// The same of the last whole period, by the second.
+    last_rates: (f64, f64),
 }
 
 /// How often a host's report of its load is made anew.
@@ -85,10 +90,14 @@
         self.used += self.running as f64 * (now - self.changed).as_secs_f64();
         self.changed = now;
         self.running = self.running.saturating_add_signed(by);
+        self.ended += u32::from(by < 0);
         let passed = now - self.since;
         if passed >= REFRESHED {
-            self.last = self.used / (passed.as_secs_f64() * cores as f64);
-            (self.used, self.since) = (0.0, now);
+            let passed = passed.as_secs_f64();
+            self.last = self.used / (passed * cores as f64);
+            self.last_rates =
+                (f64::from(self.ended + self.refused) / passed, f64::from(self.refused) / passed);
+            (self.used, self.since, self.ended, self.refused) = (0.0, now, 0, 0);
         }
     }
 }
@@ -114,7 +123,10 @@
                 changed: Instant::now(),
                 used: 0.0,
                 since: Instant::now(),
+                ended: 0,
+                refused: 0,
                 last: 0.0,
+                last_rates: (0.0, 0.0),
             }),
             trouble: trouble.clone(),
             facts: facts.clone(),
@@ -196,11 +208,13 @@
         }
     }
 
-    /// So many more or fewer run; gives how busy the cores were lately.
-    fn busy(&self, by: isize) -> f64 {
+    /// So many more or fewer run; gives how busy the cores were lately, and the reqs a second that ended and that
+    /// were refused.
+    fn busy(&self, by: isize, refused: bool) -> (f64, (f64, f64)) {
         let mut busy = self.busy.lock().unwrap_or_else(PoisonError::into_inner);
         busy.change(by, self.make.cores);
-        busy.last
+        busy.refused += u32::from(refused);
+        (busy.last, busy.last_rates)
     }
 
     fn work(&self, req: &Request<Incoming>) -> Option<Duration> {
@@ -219,10 +233,13 @@
     }
 
     fn answer(&self, status: StatusCode, never_ran: bool) -> Response<Empty<Bytes>> {
+        let (busy, (rate, errored_rate)) = self.busy(0, never_ran);
         let load = Report {
-            busy: Some(self.busy(0)),
+            busy: Some(busy),
             queue: Some(self.waiting.load(Relaxed) as f64),
             latency_ms: None,
+            rate: Some(rate),
+            errored_rate: Some(errored_rate),
         };
         let mut answer = Response::new(Empty::new());
         *answer.status_mut() = status;
@@ -241,14 +258,14 @@
 
 impl Runs<'_> {
     fn begin(of: &Works) -> Runs<'_> {
-        of.busy(1);
+        of.busy(1, false);
         Runs(of)
     }
 }
 
 impl Drop for Runs<'_> {
     fn drop(&mut self) {
-        self.0.busy(-1);
+        self.0.busy(-1, false);
     }
 }
 
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -3,6 +3,8 @@
 //!
 //! - `front`: the project's own proxy, with a relay that sees what crosses its runtime socket.
 //! - `host`, `client`: the stand-ins.
+//! - `by_name`: a stand-in of a plain proxy that takes its hosts from DNS, with a cache.
+//! - `secondary`: a stand-in of a server that answers from a copy of the zone.
 //! - `facts`: what they saw, in one list.
 //! - `rules`: the five rules, checked on that list.
 //! - `service`: benefit answered in time over benefit asked for, by span of the day.
@@ -11,11 +13,13 @@
 //! - `bad_day`, `storm`, `trial`, `weighing`: the scripts.
 
 pub mod bad_day;
+pub mod by_name;
 pub mod client;
 pub mod facts;
 pub mod front;
 pub mod host;
 pub mod rules;
+pub mod secondary;
 pub mod service;
 pub mod site;
 pub mod storm;
--- a/crates/rehearsal/src/weighing/stage.rs
+++ b/crates/rehearsal/src/weighing/stage.rs
@@ -116,7 +116,7 @@
         // The same traffic for each way of weighing.
         let mut chance = fastrand::Rng::with_seed(self.seed ^ 0x5eed);
         for (proxy, part) in self.proxies.iter().zip(&site.parts) {
-            let client = client::Client::new(proxy.addr);
+            let client = client::Way::Proxy(client::Client::new(proxy.addr));
             let (seed, facts) = (chance.u64(..), self.facts.clone());
             self.asking.spawn(client::ask(
                 client,
--- a/crates/steward/src/course.rs
+++ b/crates/steward/src/course.rs
@@ -48,7 +48,7 @@
     pub(crate) rounds: Rounds,
     pub(crate) chance: fastrand::Rng,
     pub(crate) woken_at: Option<Time>,
-    pub(crate) loads: BTreeMap<HostId, (Time, Load)>,
+    pub(crate) loads: BTreeMap<HostId, (Time, LoadTold)>,
     pub(crate) met: BTreeMap<HostId, Met>,
     pub(crate) load_at: Option<Time>,
     pub(crate) inputs: u64,
@@ -273,7 +273,8 @@
                     weigher.looked(&look);
                 }
                 self.rounds.came(proxy, &look);
-                self.loads.extend(look.loads.into_iter().map(|(host, load)| (host, (now, load))));
+                let told = |(host, load): (HostId, Load)| (host, (now, LoadTold::of(&load)));
+                self.loads.extend(look.loads.into_iter().map(told));
             }
         }
     }
@@ -323,12 +324,11 @@
 
     fn probed(&mut self, host: &str, for_load: bool, good: bool, load: Option<LoadTold>) {
         let host = HostId(host.into());
-        let load = load.map(|told| told.load());
         if let Some(load) = load {
             self.loads.insert(host.clone(), (self.now, load));
         }
         if !for_load {
-            self.steward.probe_answered(self.now, &host, good, load);
+            self.steward.probe_answered(self.now, &host, good, load.map(|told| told.load()));
         }
     }
 
@@ -348,10 +348,12 @@
                 self.out.push_back(Output::Write { proxy, conn, lines: vec![line] });
             }
         }
-        if let Some(gathered) = self.rounds.closed(now) {
+        if let Some(mut gathered) = self.rounds.closed(now) {
             let fresh = self.load_every.unwrap_or(Span::ZERO).max(self.report_every).times(LOAD_PERIODS);
+            gathered.extend(self.told_of_themselves());
             for (host, met) in gathered {
-                let load = self.loads.get(&host).filter(|(at, _)| now - *at <= fresh).map(|(_, load)| *load);
+                let load = self.loads.get(&host).filter(|(at, _)| now - *at <= fresh);
+                let load = load.map(|(_, told)| told.load());
                 let met = Met { load, ..met };
                 self.steward.met(now, &host, met);
                 self.met.insert(host, met);
--- a/crates/steward/src/names.rs
+++ b/crates/steward/src/names.rs
@@ -5,7 +5,7 @@
 use crate::list::{HostList, Known};
 use crate::peer::Link;
 use crate::wire::{Event, Output, micros};
-use pondarch::types::{HostId, ProxyId, Span, Standing, TableId, Time};
+use pondarch::types::{HostId, Met, ProxyId, Span, Standing, TableId, Time};
 use pondarch_dns_front::{Line, View};
 use pondarch_dns_rules::{Asked, Heard, Held, Lifetime, Members, Named, Secondaries};
 use pondarch_settings::Site;
@@ -199,6 +199,24 @@
         }
     }
 
+    /// DNS brings no sums: of hosts that only proxies without a runtime API meet, what they say of themselves is all
+    /// there is, and stands for a look at them. One that says nothing was not seen.
+    pub(crate) fn told_of_themselves(&self) -> BTreeMap<HostId, Met> {
+        if self.names.is_none() {
+            return BTreeMap::new();
+        }
+        // Where proxies bring sums, those are the evidence: a host that hangs may still answer a short question.
+        let looked_at = self.peers.iter().filter(|peer| peer.is_joined());
+        let tables: BTreeSet<TableId> = looked_at.flat_map(|peer| peer.bound.values().copied()).collect();
+        let of = |table: &TableId| self.books.books.get(table).into_iter().flat_map(|book| book.dealt.keys());
+        let looked_at: BTreeSet<&HostId> = tables.iter().flat_map(of).collect();
+        // Each word counts once: as the look of the report period that it came in.
+        let since = self.load_every.unwrap_or(self.report_every);
+        let told =
+            self.loads.iter().filter(|(host, (at, _))| !looked_at.contains(host) && self.now - *at < since);
+        told.map(|(host, (_, told))| (host.clone(), told.met(since))).collect()
+    }
+
     pub(crate) fn secondary_heard(&mut self, n: u16, heard: Heard) {
         let now = self.now;
         if let Some(names) = &mut self.names {
--- a/crates/steward/src/wire.rs
+++ b/crates/steward/src/wire.rs
@@ -1,6 +1,6 @@
 //! What goes into a steward's core and what comes out of it. Both can be recorded.
 
-use pondarch::types::{Load, Span, Time};
+use pondarch::types::{Load, Met, Span, Time};
 use pondarch_dns_rules::Heard;
 use pondarch_settings::HostEntry;
 use pondarch_weights::{Fleet, Plan};
@@ -76,6 +76,11 @@
     pub queue: Option<f64>,
     /// Recent service time without waiting, in milliseconds.
     pub service_ms: Option<f64>,
+    /// Reqs that ended a second, and those of them that errored.
+    #[serde(default)]
+    pub rate: Option<f64>,
+    #[serde(default)]
+    pub errored_rate: Option<f64>,
 }
 
 /// Something to be done, in the order given.
@@ -207,6 +212,19 @@
 }
 
 impl LoadTold {
+    pub(crate) fn of(load: &Load) -> LoadTold {
+        let service_ms = load.service.map(|span| span.secs() * 1e3);
+        LoadTold { busy: load.busy, queue: load.queue, service_ms, ..LoadTold::default() }
+    }
+
+    /// What the host says as if proxies had met it for so long.
+    pub(crate) fn met(&self, over: Span) -> Met {
+        let many = |rate: Option<f64>| rate.unwrap_or(0.0).clamp(0.0, 1e6) * over.secs();
+        let (tries, errored) = (many(self.rate), many(self.errored_rate));
+        let mean_time = self.load().service.unwrap_or(Span::ZERO);
+        Met { tries, errored: errored.min(tries), mean_time, over, load: None }
+    }
+
     pub(crate) fn load(&self) -> Load {
         let ms = |ms: f64| Span::from_micros((ms.clamp(0.0, 3_600e3) * 1e3) as u64);
         Load { busy: self.busy, queue: self.queue, service: self.service_ms.map(ms) }
