Strangers are bound like proxies; no table is answered that the module keeps no longer

Cause: a table that nobody is bound to gets no more pushes, and an unknown asker could be given one that names hosts that hang or start cold; and before anybody was bound there was nothing to answer at all. Change: whoever is not known is one of four strangers, joined and bound like a proxy; where nobody is bound the list itself is drawn from. A secondary that serves counts as all strangers asking. Large tables are sampled without being written out.

--- a/crates/dns-front/src/answer.rs
+++ b/crates/dns-front/src/answer.rs
@@ -44,11 +44,11 @@
 pub struct Reply {
     /// What is sent, in this order; none: the packet is dropped. More than one with a transfer alone.
     pub packets: Vec<Vec<u8>>,
-    /// The proxy that asked for its hosts, if it is known.
+    /// The proxy that asked for its hosts, or the stranger it is taken for.
     pub asked: Option<ProxyId>,
     /// The table that was given, which caches may hold from now on.
     pub given: Option<TableId>,
-    /// Hosts were given to somebody unknown, by a hashed draw.
+    /// Whoever asked is not known and was taken for a stranger, by a draw.
     pub unknown: bool,
     /// What is known of secondaries once all of it was sent.
     pub heard: Vec<(u16, Heard)>,
@@ -208,14 +208,19 @@
             Asks::Services(kind, proxy) if wanted(RecordType::SRV) => {
                 let (table, reply) = self.table(kind, proxy, from, view);
                 match table {
-                    Some(table) => self.services(draft.of(table, view), view.lines(table), reply),
+                    Some(table) => {
+                        self.services(draft.of(table, view), &view.lines_for(table, mark(from)), reply)
+                    }
                     None => no_host(draft, reply),
                 }
             }
             Asks::Addresses(kind, proxy) if wanted(RecordType::A) || wanted(RecordType::AAAA) => {
                 let (table, reply) = self.table(kind, proxy, from, view);
                 match table {
-                    Some(table) => self.addresses(draft.of(table, view), view.lines(table), reply, view),
+                    Some(table) => {
+                        let lines = view.lines_for(table, mark(from));
+                        self.addresses(draft.of(table, view), &lines, reply, view)
+                    }
                     None => no_host(draft, reply),
                 }
             }
@@ -227,7 +232,7 @@
                     Of::All => self.table(KindId(0), None, from, view).0,
                 };
                 let Some(table) = table else { return self.negative(draft, ResponseCode::NXDomain, view) };
-                let (lines, draft) = (view.lines(table), draft.of(table, view));
+                let (lines, draft) = (&view.lines_for(table, mark(from)), draft.of(table, view));
                 let reply = Reply { given: Some(table), unknown: true, ..Reply::default() };
                 match kind_of_record {
                     _ if lines.is_empty() => no_host(draft, reply),
@@ -247,13 +252,10 @@
         from: IpAddr,
         view: &View,
     ) -> (Option<TableId>, Reply) {
-        let asked = proxy.or_else(|| self.zone.proxy_at(from));
-        let mark = match from {
-            IpAddr::V4(v4) => u64::from(u32::from(v4)),
-            IpAddr::V6(v6) => (u128::from(v6) >> 64) as u64 ^ u128::from(v6) as u64,
-        };
-        let table = view.table_of(asked, kind, mark).filter(|table| !view.lines(*table).is_empty());
-        let reply = Reply { asked, given: table, unknown: asked.is_none(), ..Reply::default() };
+        let (known, mark) = (proxy.or_else(|| self.zone.proxy_at(from)), mark(from));
+        let table = view.table_of(known, kind, mark).filter(|table| !view.lines(*table).is_empty());
+        let asked = known.or_else(|| view.stranger(mark));
+        let reply = Reply { asked, given: table, unknown: known.is_none(), ..Reply::default() };
         (table, reply)
     }
 
@@ -366,6 +368,14 @@
     }
 }
 
+/// What tells one source from another in draws.
+fn mark(from: IpAddr) -> u64 {
+    match from {
+        IpAddr::V4(v4) => u64::from(u32::from(v4)),
+        IpAddr::V6(v6) => (u128::from(v6) >> 64) as u64 ^ u128::from(v6) as u64,
+    }
+}
+
 /// Seconds since 1970, as signatures have it.
 fn seconds(now: Time) -> u64 {
     (now - Time::default()).as_micros() / 1_000_000
--- a/crates/dns-front/src/fit.rs
+++ b/crates/dns-front/src/fit.rs
@@ -5,6 +5,8 @@
 
 /// Lines that a sample must hold at least to be worth more than the word to come by TCP.
 const SAMPLE_LEAST: usize = 4;
+/// Tables of so many lines are simply written out to see whether they fit.
+const SMALL: usize = 16;
 
 /// The largest of some answers that fits: `build` makes a message of so many lines, with the additional section or
 /// without. None: not even a small sample fits; the asker must come by TCP.
@@ -17,19 +19,29 @@
     let encoded = |lines: &[SrvLine], additional: bool| {
         build(lines, additional).to_vec().ok().filter(|bytes| bytes.len() <= room)
     };
-    if let Some(bytes) = encoded(lines, true).or_else(|| encoded(lines, false)) {
+    // By the size of the line with the shortest name it is known which large tables cannot fit, without writing them out.
+    let shortest = lines.iter().min_by_key(|line| line.host.0.len())?;
+    let size = || {
+        let one = build(std::slice::from_ref(shortest), false).to_vec().ok()?.len();
+        let none = build(&[], false).to_vec().ok()?.len();
+        Some(room.saturating_sub(none) / one.saturating_sub(none).max(1))
+    };
+    let most = if lines.len() <= SMALL { lines.len() } else { size()? };
+    if lines.len() <= most
+        && let Some(bytes) = encoded(lines, true).or_else(|| encoded(lines, false))
+    {
         return Some(bytes);
     }
-    // How many fit, by the size of one: lines differ little, and a try tells.
-    let (one, none) = (build(&lines[..1], false).to_vec().ok()?, build(&[], false).to_vec().ok()?);
-    let each = one.len().saturating_sub(none.len()).max(1);
-    let mut places = room.saturating_sub(none.len()) / each;
-    while places >= SAMPLE_LEAST.min(lines.len()) {
+    let mut places = most.min(lines.len());
+    while places >= SAMPLE_LEAST.min(lines.len()).max(1) {
         let drawn = sample(lines, places, chance);
-        if let Some(bytes) = encoded(&drawn, false) {
-            return Some(bytes);
+        let message = build(&drawn, false).to_vec().ok()?;
+        if message.len() <= room {
+            return Some(message);
         }
-        places -= 1;
+        // By how much it was too large tells how many lines to leave out.
+        let line = (message.len() / drawn.len().max(1)).max(1);
+        places = places.saturating_sub(((message.len() - room) / line).max(1));
     }
     None
 }
--- a/crates/dns-front/src/lib.rs
+++ b/crates/dns-front/src/lib.rs
@@ -23,5 +23,5 @@
 pub use keys::{Key, KeyError};
 pub use rows::{Row, rows};
 pub use transfer::Copies;
-pub use view::{Line, View};
+pub use view::{Line, STANDING, View};
 pub use zone::{Asks, Of, Zone, ZoneError};
--- a/crates/dns-front/src/rows.rs
+++ b/crates/dns-front/src/rows.rs
@@ -1,7 +1,7 @@
 //! The zone as rows, for copies of it: what each name is an alias of, and each table once. Tables change often and bindings
 //! seldom, so that differences are as small as the tables' own.
 
-use crate::view::{Line, View};
+use crate::view::{Line, STANDING, View};
 use crate::zone::{Of, Zone};
 use hickory_proto::rr::rdata::{A, AAAA, CNAME, SRV};
 use hickory_proto::rr::{Name, RData, Record};
@@ -26,16 +26,16 @@
 pub fn rows(zone: &Zone, view: &View) -> BTreeSet<Row> {
     let mut rows = BTreeSet::new();
     rows.extend(view.hosts.iter().map(|(host, addr)| Row::Host { host: host.clone(), ip: addr.ip() }));
-    for (table, lines) in &view.tables {
+    for (table, lines) in view.tables.iter().filter(|(table, _)| **table != STANDING) {
         table_rows(Of::Table(*table), lines, &mut rows);
     }
     table_rows(Of::All, &view.all(), &mut rows);
     for (_, kind) in zone.kinds() {
         let none = (None, Of::All);
-        // One that nobody has bound gets a table by a draw of its place, as it would here.
-        let own = zone.proxies().filter_map(|(_, proxy)| {
-            let table = view.table_of(Some(proxy), kind, u64::from(proxy.0))?;
-            Some((Some(proxy), Of::Table(table)))
+        // One that nobody has bound is a stranger by a draw of its place.
+        let own = zone.proxies().map(|(_, proxy)| {
+            let table = view.table_of(Some(proxy), kind, u64::from(proxy.0));
+            (Some(proxy), table.filter(|table| *table != STANDING).map_or(Of::All, Of::Table))
         });
         for (proxy, of) in own.chain([none]) {
             rows.extend([true, false].map(|srv| Row::Alias { kind, proxy, srv, of }));
--- a/crates/dns-front/tests/copies.rs
+++ b/crates/dns-front/tests/copies.rs
@@ -8,6 +8,7 @@
 use pondarch_dns_rules::{Heard, Lifetime, Limits};
 use std::net::IpAddr;
 
+const STRANGERS: [ProxyId; 2] = [ProxyId(18), ProxyId(19)];
 const NOW: Time = Time::from_micros(1_800_000_000_000_000);
 const NOW_S: u64 = 1_800_000_000;
 const FROM: IpAddr = IpAddr::V4(std::net::Ipv4Addr::LOCALHOST);
@@ -27,6 +28,7 @@
         bound: (0..20).map(|p| ((ProxyId(p), KindId(0)), TableId(p % 4))).collect(),
         hosts: (0..hosts).map(|n| (HostId(format!("host-{n}").into()), addr(n))).collect(),
         last: Default::default(),
+        strangers: STRANGERS.into(),
     }
 }
 
--- a/crates/dns-rules/src/members.rs
+++ b/crates/dns-rules/src/members.rs
@@ -82,6 +82,10 @@
         self.members.iter().filter(|(_, member)| member.late >= LATE_ASKS).map(|(id, _)| *id)
     }
 
+    pub fn holds(&self, proxy: ProxyId) -> bool {
+        self.members.contains_key(&proxy)
+    }
+
     pub fn len(&self) -> usize {
         self.members.len()
     }
--- a/crates/steward/src/course.rs
+++ b/crates/steward/src/course.rs
@@ -4,7 +4,7 @@
 use crate::books::Books;
 use crate::channel::Channel;
 use crate::list::HostList;
-use crate::names::Names;
+use crate::names::{self, Names};
 use crate::peer::{Link, Peer};
 use crate::round::Rounds;
 use crate::weigher::Weigher;
@@ -94,7 +94,7 @@
             weigher: (site.weights == Weights::Solved).then(|| Weigher::new(site, now)),
             names: Names::new(site),
             books: Books::default(),
-            peers: site.proxies.iter().enumerate().map(peer).collect(),
+            peers: site.proxies.iter().chain(&names::strangers(site)).enumerate().map(peer).collect(),
             channel,
             rounds: Rounds::new(site.reports.every.0, now),
             chance: fastrand::Rng::with_seed(seed),
--- a/crates/steward/src/names.rs
+++ b/crates/steward/src/names.rs
@@ -6,7 +6,7 @@
 use crate::peer::Link;
 use crate::wire::{Event, Output, micros};
 use pondarch::types::{HostId, Met, ProxyId, Span, Standing, TableId, Time};
-use pondarch_dns_front::{Line, View};
+use pondarch_dns_front::{Line, STANDING, View};
 use pondarch_dns_rules::{Asked, Heard, Held, Lifetime, Members, Named, Secondaries};
 use pondarch_settings::Site;
 use std::collections::{BTreeMap, BTreeSet};
@@ -16,6 +16,9 @@
 const MEMBERS_MOST: usize = 60_000;
 /// How late the edge may tell of an answer: it tells of each table and proxy once in this time.
 pub const TOLD_WITHIN: Span = Span::from_millis(200);
+/// Whoever is not known is one of so many strangers. Each is bound like a proxy, so that no table is given away that the
+/// module keeps no longer, and strangers do not all meet the same few hosts.
+const STRANGERS: usize = 4;
 /// How often it is noted that copies of the zone are being answered from.
 const SERVED_EVERY: Span = Span::from_millis(100);
 
@@ -35,6 +38,23 @@
     secondaries: Secondaries,
     keys: Vec<String>,
     served: Time,
+    strangers: Vec<ProxyId>,
+}
+
+/// Strangers as proxies of a site: after those of the settings, one after the other from each zone.
+pub(crate) fn strangers(site: &Site) -> Vec<pondarch_settings::site::Proxy> {
+    if site.dns.is_none() {
+        return Vec::new();
+    }
+    let usual: f64 = site.proxies.iter().map(|proxy| proxy.usual_rate).sum();
+    let stranger = |n: usize| pondarch_settings::site::Proxy {
+        name: format!("strangers-{n}"),
+        zone: site.zones[n % site.zones.len()].clone(),
+        runtime: None,
+        sources: Vec::new(),
+        usual_rate: usual / site.proxies.len().max(1) as f64,
+    };
+    (0..STRANGERS).map(stranger).collect()
 }
 
 impl Names {
@@ -56,6 +76,7 @@
             secondaries: Secondaries::new(dns.secondaries.len(), dns.behind.0, dns.expires.0),
             keys: dns.secondaries.iter().map(|secondary| secondary.key.clone()).collect(),
             served: Time::default(),
+            strangers: (0..STRANGERS).map(|n| ProxyId((site.proxies.len() + n) as u16)).collect(),
         })
     }
 
@@ -76,13 +97,24 @@
         self.stale = true;
     }
 
+    /// Proxies of the settings that ask.
     pub(crate) fn members(&self) -> usize {
-        self.members.len()
+        self.members.len() - self.strangers_asking()
+    }
+
+    pub(crate) fn strangers(&self) -> usize {
+        self.strangers.len()
+    }
+
+    /// Of the strangers, those that somebody asked as.
+    pub(crate) fn strangers_asking(&self) -> usize {
+        self.strangers.iter().filter(|id| self.members.holds(**id)).count()
     }
 
     /// Proxies that hold answers longer than they may, by their places.
     pub(crate) fn holds_too_long(&self) -> impl Iterator<Item = ProxyId> {
-        self.members.holds_too_long()
+        // Strangers are many, each with a cache of its own.
+        self.members.holds_too_long().filter(|id| !self.strangers.contains(id))
     }
 
     /// Hosts that no table names any more and caches may still hold, each with until when.
@@ -151,9 +183,16 @@
                 self.find_echoes();
             }
         }
+        if let Some(proxy) = proxy {
+            self.asks_for_hosts(proxy, cause);
+        }
+    }
+
+    fn asks_for_hosts(&mut self, proxy: u16, cause: String) {
+        let now = self.now;
         let Some(names) = &mut self.names else { return };
         // Those with a runtime API are joined by it; that they ask for names as well changes nothing.
-        let Some(peer) = proxy.and_then(|n| self.peers.get_mut(n as usize)) else { return };
+        let Some(peer) = self.peers.get_mut(proxy as usize) else { return };
         let Link::ByName { joined } = peer.link else { return };
         if names.members.asked(now, peer.id) == Asked::Joined && !joined {
             peer.link = Link::ByName { joined: true };
@@ -172,8 +211,13 @@
             names.served = now;
             if let Some(serial) = names.secondaries.oldest(now) {
                 names.held.served(now, serial, names.holds);
+                // Who asks a secondary is not seen here: strangers, as far as is known.
+                for stranger in names.strangers.clone() {
+                    self.asks_for_hosts(stranger.0, "a secondary serves".into());
+                }
             }
         }
+        let Some(names) = &mut self.names else { return };
         if names.last_until.take_if(|until| *until <= now).is_some() {
             names.stale = true;
         }
@@ -263,23 +307,30 @@
         let Some(names) = self.names.as_mut().filter(|names| names.stale) else { return };
         names.stale = false;
         let list = &self.list;
+        let by_name = self.peers.iter().filter(|peer| matches!(peer.link, Link::ByName { joined: true }));
+        let bound: BTreeMap<_, TableId> = by_name
+            .flat_map(|peer| peer.bound.iter().map(|(kind, table)| ((peer.id, *kind), *table)))
+            .collect();
+        let used: BTreeSet<TableId> = bound.values().copied().collect();
+        // Where nobody is bound the list itself is all there is; cold hosts of it come with a table alone.
+        let listed =
+            list.known.iter().filter(|(host, k)| k.standing == Standing::Open && !list.is_cold(host, now));
+        let listed: BTreeMap<HostId, f64> = listed.map(|(host, k)| (host.clone(), k.entry.weight)).collect();
+        let dealt = |table: &TableId| self.books.books.get(table).map(|book| (*table, &book.dealt));
         let (mut tables, mut last) = (BTreeMap::new(), BTreeSet::new());
         names.last_until = None;
-        for (table, book) in &self.books.books {
-            let (lines, until) = names.lines(now, &book.dealt, *table, list);
+        for (table, dealt) in used.iter().filter_map(dealt).chain([(STANDING, &listed)]) {
+            let (lines, until) = names.lines(now, dealt, table, list);
             if let Some(until) = until {
-                last.insert(*table);
+                last.insert(table);
                 names.last_until = Some(names.last_until.map_or(until, |other| other.min(until)));
             }
-            tables.insert(*table, lines);
+            tables.insert(table, lines);
         }
-        let by_name = self.peers.iter().filter(|peer| matches!(peer.link, Link::ByName { joined: true }));
-        let bound: BTreeMap<_, TableId> = by_name
-            .flat_map(|peer| peer.bound.iter().map(|(kind, table)| ((peer.id, *kind), *table)))
-            .collect();
         let hosts = list.known.iter().map(|(host, known)| (host.clone(), known.entry.address)).collect();
         let old = &names.view;
-        let view = View { serial: old.serial, tables, bound, hosts, last };
+        let strangers = names.strangers.clone();
+        let view = View { serial: old.serial, tables, bound, hosts, last, strangers };
         if view == **old {
             return;
         }
@@ -295,6 +346,9 @@
                 names.held.changed(now, serial, *table, lines.iter().map(named).collect());
             }
         }
+        for table in old.tables.keys().filter(|table| !view.tables.contains_key(table)) {
+            names.held.changed(now, serial, *table, BTreeMap::new());
+        }
         names.view = Arc::new(View { serial, ..view });
         self.out.push_back(Output::ViewChanged { serial });
         // After the view, so that what they fetch is it.
--- a/crates/steward/src/operator.rs
+++ b/crates/steward/src/operator.rs
@@ -3,6 +3,7 @@
 
 use crate::course::Course;
 use crate::list::Known;
+use crate::names::Names;
 use crate::peer::Link;
 use crate::weigher::Weigher;
 use pondarch::types::{HostId, Standing, TableId, Time};
@@ -269,7 +270,8 @@
     info.put("HostsDraining", open(Standing::Draining));
     info.put("HostsGone", open(Standing::Gone));
     info.put("HostsCold", cold);
-    info.put("Proxies", core.peers.len());
+    let strangers = core.names.as_ref().map_or(0, Names::strangers);
+    info.put("Proxies", core.peers.len() - strangers);
     info.put("ProxiesJoined", joined);
     info.put("ProxiesBehind", behind);
     info.put("Tables", core.books.books.len());
@@ -282,6 +284,7 @@
             .filter_map(|id| core.peers.get(id.0 as usize).map(|peer| peer.name.as_str()))
             .collect();
         info.put("NamesAsking", names.members());
+        info.put("NamesStrangersAsking", names.strangers_asking());
         info.put("NamesSerial", names.view().serial);
         info.put("NamesHoldTooLong", if too_long.is_empty() { "-".into() } else { too_long.join(" ") });
     }
--- a/crates/steward/tests/in_memory/names.rs
+++ b/crates/steward/tests/in_memory/names.rs
@@ -2,6 +2,7 @@
 
 use crate::town::*;
 use pondarch::types::{ProxyId, TableId};
+use pondarch_dns_front::STANDING;
 use pondarch_dns_rules::Heard;
 use pondarch_settings::Length;
 use pondarch_settings::hosts::HostState;
@@ -70,6 +71,37 @@
     assert_eq!(town.info("NamesAsking"), 0);
 }
 
+/// A table that the module keeps no longer may name hosts that hang or start cold: strangers are bound like proxies, and
+/// what nobody is bound to is given to nobody.
+#[test]
+fn strangers_are_bound_like_proxies_and_no_other_table_is_given_away() {
+    let mut town = town();
+    let first = town.core.view();
+    let standing = first.table_of(None, pondarch::types::KindId(0), 77).expect("the list itself");
+    assert!(standing == STANDING && first.lines(standing).len() == 12);
+    for mark in 0..40 {
+        let stranger = first.stranger(mark).map(|id| id.0);
+        town.give(Input::AskedByName { proxy: stranger, table: Some(STANDING.0), serial: first.serial });
+    }
+    town.run(500);
+    assert_eq!(
+        (town.info("NamesStrangersAsking"), town.info("NamesAsking"), town.info("Proxies")),
+        (4, 0, 4)
+    );
+    asks(&mut town, 2);
+    town.run(500);
+    for _ in 0..20 {
+        let view = town.core.view();
+        let used: std::collections::BTreeSet<_> = view.bound.values().copied().chain([STANDING]).collect();
+        assert!(view.tables.keys().all(|table| used.contains(table)));
+        assert!(view.table_of(None, pondarch::types::KindId(0), 77).is_some());
+        town.run(2_000);
+        asks(&mut town, 2);
+    }
+    assert_eq!(town.info("NamesStrangersAsking"), 0, "they asked no more");
+    assert_eq!(town.info("NamesAsking"), 1);
+}
+
 #[test]
 fn a_drain_leaves_the_answers_at_once_and_lingers_no_longer_than_the_grace() {
     let mut town = town();
