--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,11 +5,12 @@
 
 mod ctl;
 mod plan;
+mod records;
 mod rehearse;
 mod resolve;
 
 use clap::{Parser, Subcommand, ValueEnum};
-use pondarch_settings::{Endpoint, read_hosts, read_proxy, read_site};
+use pondarch_settings::{Endpoint, read_hosts, read_proxy, read_site, read_site_text};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -48,9 +49,6 @@
         /// Seed of this run's chance; absent: from the clock.
         #[arg(long)]
         seed: Option<u64>,
-        /// Writes each input to this file, a JSON line with its time.
-        #[arg(long)]
-        record: Option<PathBuf>,
     },
     /// Runs an obeying proxy until SIGTERM or SIGINT; SIGHUP reads the settings anew.
     Proxy { settings: PathBuf },
@@ -90,6 +88,28 @@
         #[arg(long)]
         tcp: bool,
     },
+    /// What a steward recorded: shown, checked, exported, trimmed, or made a scene.
+    Records {
+        #[command(subcommand)]
+        what: records::What,
+    },
+    /// Plays what was recorded once more through this build: 'same', or the first decision that differs. With
+    /// `--against`, or a scene, plays its troubles by these settings and by others, and shows figures of both.
+    Replay {
+        /// A folder of records, or a scene.
+        from: PathBuf,
+        /// Compares from this input on, and up to that one.
+        #[arg(long = "from", default_value_t = 0)]
+        first: u64,
+        #[arg(long = "to", default_value_t = u64::MAX)]
+        last: u64,
+        /// Other settings, of the same proxies.
+        #[arg(long)]
+        against: Option<PathBuf>,
+        /// Plays a scene with so many seeds.
+        #[arg(long, default_value_t = 3)]
+        seeds: u64,
+    },
     /// Plays troubles on loopback and checks the rules.
     Rehearse {
         #[command(subcommand)]
@@ -106,7 +126,7 @@
     };
     runtime.block_on(async {
         match args.what {
-            What::Run { settings, seed, record } => run(settings, seed, record).await,
+            What::Run { settings, seed } => run(settings, seed).await,
             What::Proxy { settings } => match pondarch_proxy::run(&settings).await {
                 Ok(()) => ExitCode::SUCCESS,
                 Err(wrong) => failed(&wrong.to_string()),
@@ -115,6 +135,11 @@
             What::Plan { settings, simplex, json } => plan::plan(&settings, simplex, json),
             What::Ctl { socket, command } => ctl::ctl(&socket, &command).await,
             What::Resolve { name, server, of, tcp } => resolve::resolve(server, &name, &of, tcp).await,
+            What::Records { what } => records::records(what),
+            What::Replay { from, first, last, against, seeds } => {
+                let span = pondarch_history::replay::Span { from: first, to: last };
+                records::again(&from, span, against.as_deref(), seeds.clamp(1, 1_000))
+            }
             What::Rehearse { scene } => rehearse::rehearse(scene).await,
         }
     })
@@ -126,12 +151,12 @@
     ExitCode::from(2)
 }
 
-async fn run(settings: PathBuf, seed: Option<u64>, record: Option<PathBuf>) -> ExitCode {
-    let site = match read_site(&settings) {
-        Ok(site) => site,
+async fn run(settings: PathBuf, seed: Option<u64>) -> ExitCode {
+    let (site, text) = match read_site_text(&settings) {
+        Ok(read) => read,
         Err(wrong) => return failed(&wrong.to_string()),
     };
-    match pondarch_daemon::run(site, pondarch_daemon::Options { seed, record }).await {
+    match pondarch_daemon::run(site, text, pondarch_daemon::Options { seed }).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(wrong) => failed(&wrong.to_string()),
     }
--- /dev/null
+++ b/crates/cli/src/records.rs
@@ -0,0 +1,264 @@
+//! `pondarch records` and `pondarch replay`: what a steward recorded, looked at, checked, exported, trimmed, played again.
+
+use crate::failed;
+use clap::Subcommand;
+use pondarch_history::play::{Played, play};
+use pondarch_history::replay::{Replayed, Span, replay};
+use pondarch_history::runs::{Flaw, places};
+use pondarch_history::scene::{Scene, of_run};
+use pondarch_history::{HistoryError, export};
+use pondarch_records::{Disk, Folder, Keep, Keeping, log};
+use pondarch_settings::read_site;
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+#[derive(Subcommand)]
+pub(crate) enum What {
+    /// One line for each input and each thing decided; `-v` adds all that is recorded of it.
+    Show {
+        folder: PathBuf,
+        /// Of this proxy alone.
+        #[arg(long)]
+        proxy: Option<String>,
+        #[arg(long)]
+        host: Option<String>,
+        /// Events, inputs or decisions of this name alone, such as `Ordered` or `List`.
+        #[arg(long)]
+        what: Option<String>,
+        #[arg(long, default_value_t = 0)]
+        from: u64,
+        #[arg(long, default_value_t = u64::MAX)]
+        to: u64,
+        #[arg(long, short)]
+        verbose: bool,
+    },
+    /// Reads all of it and says what is torn, missing or foreign.
+    Verify { folder: PathBuf },
+    /// Writes all of it to a columnar file (Arrow IPC).
+    Export { folder: PathBuf, file: PathBuf },
+    /// Drops the oldest segments, as a running steward does by its settings; it must not be running.
+    Trim {
+        folder: PathBuf,
+        /// Bytes that are kept at most.
+        #[arg(long)]
+        bytes: u64,
+    },
+    /// The troubles of a run without its decisions, as a scene that can be played.
+    Scene {
+        folder: PathBuf,
+        file: PathBuf,
+        /// Which run; absent: the last.
+        #[arg(long)]
+        epoch: Option<u64>,
+    },
+}
+
+pub(crate) fn records(what: What) -> ExitCode {
+    match done(what) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(wrong) => failed(&wrong),
+    }
+}
+
+/// Gives whether all was in order.
+fn done(what: What) -> Result<bool, String> {
+    match what {
+        What::Show { folder, proxy, host, what, from, to, verbose } => {
+            let fits = |own: &Option<String>, wanted: &Option<String>| wanted.is_none() || own == wanted;
+            let mut out = std::io::stdout().lock();
+            let flaws = export::rows(&Folder::look(&folder), |row| {
+                let named = what.as_ref().is_none_or(|what| row.what.eq_ignore_ascii_case(what));
+                if fits(&row.proxy, &proxy) && fits(&row.host, &host) && named && (from..=to).contains(&row.n)
+                {
+                    let of = row.proxy.as_deref().or(row.host.as_deref()).unwrap_or("");
+                    let at = row.at_us as f64 / 1e6;
+                    let more = if verbose { row.text.as_str() } else { "" };
+                    writeln!(out, "{at:.6} #{} {} {} {of} {more}", row.n, row.of, row.what)?;
+                }
+                Ok(())
+            });
+            say(&folder, &flaws.map_err(|wrong| of_folder(&folder, wrong))?);
+            Ok(true)
+        }
+        What::Verify { folder } => {
+            let disk = Folder::look(&folder);
+            let (places, _) = places(&disk).map_err(|wrong| of_folder(&folder, wrong))?;
+            let mut rows = 0u64;
+            let mut numbers = pondarch_history::runs::Numbers::default();
+            let mut missing = Vec::new();
+            let flaws = export::rows(&disk, |row| {
+                rows += 1;
+                if row.of == "input"
+                    && let Some((first, last)) = numbers.missing(row.epoch, row.n)
+                {
+                    missing.push(format!("run {}: inputs {first} to {last} are missing", row.epoch));
+                }
+                if row.of == "gap" {
+                    let fields: serde_json::Value = serde_json::from_str(&row.text).unwrap_or_default();
+                    numbers.gap(row.epoch, fields["last"].as_u64().unwrap_or(row.n));
+                    missing.push(format!("run {}: a gap: {}", row.epoch, row.text));
+                }
+                Ok(())
+            });
+            let flaws = flaws.map_err(|wrong| of_folder(&folder, wrong))?;
+            let bytes: u64 = places.iter().map(|place| place.bytes).sum();
+            println!("{}: {} segments, {bytes} bytes, {rows} rows", folder.display(), places.len());
+            say(&folder, &flaws);
+            missing.iter().for_each(|what| eprintln!("pondarch: {}: {what}", folder.display()));
+            Ok(flaws.is_empty() && missing.is_empty())
+        }
+        What::Export { folder, file } => {
+            let (count, flaws) =
+                export::export(&Folder::look(&folder), &file).map_err(|wrong| of_folder(&folder, wrong))?;
+            say(&folder, &flaws);
+            println!("{}: {count} rows", file.display());
+            Ok(true)
+        }
+        What::Trim { folder, bytes } => {
+            let mut disk = Folder::lock(&folder).map_err(|wrong| wrong.to_string())?;
+            let io = |wrong: std::io::Error| format!("{}: {wrong}", folder.display());
+            let keep = Keep {
+                segment_bytes: bytes,
+                all_bytes: bytes,
+                age: pondarch_records::keeping::ALWAYS,
+                sure_within: pondarch_records::keeping::ALWAYS,
+            };
+            let held = log::held(&disk).map_err(io)?;
+            let newest = log::files(&disk).map_err(io)?.1.pop().and_then(|name| log::number_of(&name));
+            // What the newest snapshot needs begins with the segment that was open when it was taken.
+            let needed = newest.map_or(0, |(number, _)| {
+                held.iter().map(|segment| segment.number).filter(|n| *n < number).max().unwrap_or(0)
+            });
+            let now = pondarch::types::Time::from_micros(pondarch_records::disk::now_us());
+            let drops = Keeping::new(keep).drops(now, &held, needed);
+            for number in &drops {
+                disk.remove(&format!("{number:08}.rec")).map_err(io)?;
+            }
+            println!("{}: {} of {} segments dropped", folder.display(), drops.len(), held.len());
+            Ok(true)
+        }
+        What::Scene { folder, file, epoch } => {
+            let (scene, flaws) =
+                of_run(&Folder::look(&folder), epoch).map_err(|wrong| of_folder(&folder, wrong))?;
+            say(&folder, &flaws);
+            let text = serde_json::to_string(&scene).map_err(|wrong| wrong.to_string())?;
+            std::fs::write(&file, text).map_err(|wrong| format!("{}: {wrong}", file.display()))?;
+            println!("{}: {} moments", file.display(), scene.course.len());
+            Ok(true)
+        }
+    }
+}
+
+fn of_folder(folder: &Path, wrong: HistoryError) -> String {
+    format!("{}: {wrong}", folder.display())
+}
+
+fn say(folder: &Path, flaws: &[Flaw]) {
+    for flaw in flaws {
+        eprintln!("pondarch: {}: {}", folder.join(&flaw.name).display(), flaw.what);
+    }
+}
+
+/// Plays a folder's runs again, or a scene, by its own settings and by others.
+pub(crate) fn again(from: &Path, span: Span, against: Option<&Path>, seeds: u64) -> ExitCode {
+    let done = match (against, from.is_file()) {
+        (None, false) => replayed(from, span),
+        (against, _) => compared(from, against, seeds),
+    };
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(wrong) => failed(&wrong),
+    }
+}
+
+fn replayed(folder: &Path, span: Span) -> Result<bool, String> {
+    let (runs, flaws) = replay(&Folder::look(folder), span).map_err(|wrong| of_folder(folder, wrong))?;
+    say(folder, &flaws);
+    let mut same = true;
+    for run in runs {
+        let Replayed { epoch, program, inputs, decisions, spans, took, differs, stopped } = run;
+        let (spans, took) = (spans.as_secs_f64(), took.as_secs_f64());
+        print!(
+            "run {epoch} of {program}: {inputs} inputs over {spans:.1} s, {decisions} decisions, in {took:.2} s: "
+        );
+        match (differs, stopped) {
+            (Some(difference), _) => {
+                same = false;
+                println!("differs at #{} by {:?}", difference.n, difference.input);
+                println!("  then: {:?}\n  now:  {:?}", difference.then, difference.now);
+            }
+            (None, Some(why)) => println!("same, up to where {why}"),
+            (None, None) => println!("same"),
+        }
+    }
+    Ok(same)
+}
+
+fn compared(from: &Path, against: Option<&Path>, seeds: u64) -> Result<bool, String> {
+    let scene: Scene = if from.is_file() {
+        let text = std::fs::read_to_string(from).map_err(|wrong| format!("{}: {wrong}", from.display()))?;
+        serde_json::from_str(&text).map_err(|wrong| format!("{}: {wrong}", from.display()))?
+    } else {
+        of_run(&Folder::look(from), None).map_err(|wrong| of_folder(from, wrong))?.0
+    };
+    let other = against.map(read_site).transpose().map_err(|wrong| wrong.to_string())?;
+    let mut rows: Vec<(Played, Option<Played>)> = Vec::new();
+    for seed in 1..=seeds {
+        let played = |site: Option<&pondarch_settings::Site>| {
+            play(&scene, site, seed).map_err(|wrong| format!("{}: {wrong}", from.display()))
+        };
+        let own = played(None)?;
+        rows.push((own, other.as_ref().map(|site| played(Some(site))).transpose()?));
+    }
+    type Figure = (&'static str, fn(&Played) -> u64);
+    let figures: [Figure; 10] = [
+        ("table changes", |p| p.table_changes),
+        ("lines changed", |p| p.lines_changed),
+        ("binds", |p| p.binds),
+        ("level changes", |p| p.level_changes),
+        ("messages", |p| p.messages),
+        ("commands", |p| p.commands),
+        ("messages to one proxy, most", |p| p.messages_most),
+        ("cold hosts held back", |p| p.held_back),
+        ("nothing to pick, longest ms", |p| p.bare_longest_ms),
+        ("drain, longest ms", |p| p.drain_longest_ms),
+    ];
+    println!(
+        "{:<30}{:>16}{:>16}",
+        format!("over {seeds} seeds"),
+        "own settings",
+        if against.is_some() { "others" } else { "" }
+    );
+    for (name, of) in figures {
+        let span = |all: Vec<u64>| {
+            let (least, most) =
+                (all.iter().min().copied().unwrap_or(0), all.iter().max().copied().unwrap_or(0));
+            if least == most { format!("{least}") } else { format!("{least} to {most}") }
+        };
+        let own = span(rows.iter().map(|(own, _)| of(own)).collect());
+        let others: Vec<u64> = rows.iter().filter_map(|(_, other)| other.as_ref().map(of)).collect();
+        let others = if others.is_empty() { String::new() } else { span(others) };
+        println!("{name:<30}{own:>16}{others:>16}");
+    }
+    if let Some((own, Some(other))) = rows.first() {
+        let tables: std::collections::BTreeSet<_> = own.tables.keys().chain(other.tables.keys()).collect();
+        for table in tables {
+            let names = |played: &Played| {
+                let lines = played.tables.get(table).cloned().unwrap_or_default();
+                lines
+                    .iter()
+                    .map(|(host, weight)| format!("{host} {weight:.2}"))
+                    .collect::<Vec<_>>()
+                    .join(", ")
+            };
+            let (own, other) = (names(own), names(other));
+            if own != other {
+                println!("table {table}: {own}\n     others: {other}");
+            }
+        }
+    }
+    Ok(rows.iter().all(|(own, other)| other.as_ref().is_none_or(|other| other == own)))
+}
--- a/crates/cli/tests/daemon.rs
+++ b/crates/cli/tests/daemon.rs
@@ -29,6 +29,7 @@
             hosts_file: 'hosts.jsonnet',
             channel: { lines_per_second: 4000, most_waiting: 4000, message_cap: 12, message_window: '10 s' },
             cold: { start_share: 0.17, warm_within: '18 s' },
+            records: { folder: 'records' },
             runtime_api: [{ listen: 'unix:admin.sock', level: 'admin' }, { listen: 'unix:user.sock', level: 'user' }],
         }";
         std::fs::write(folder.path().join("site.jsonnet"), site).expect("settings");
@@ -36,7 +37,6 @@
         let child = Command::new(env!("CARGO_BIN_EXE_pondarch"))
             .arg("run")
             .arg(folder.path().join("site.jsonnet"))
-            .args(["--record".as_ref(), folder.path().join("records").as_os_str()])
             .stderr(Stdio::null())
             .spawn()
             .expect("the program starts");
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -5,45 +5,60 @@
 use crate::dial::Connection;
 use crate::error::DaemonError;
 use crate::probe::Prober;
+use crate::recorder::{self, Recorder};
 use crate::{dns, hosts_file, log};
-use pondarch::types::Time;
+use pondarch_history::Start;
 use pondarch_settings::Site;
 use pondarch_sockets::{Listener, serve};
 use pondarch_steward::{Core, Input, Output, wire};
 use pondarch_weights::Warm;
 use pondarch_weights::planner::SOLVE_LIMIT;
 use std::collections::BTreeMap;
-use std::fs::File;
-use std::io::{BufWriter, Write};
-use std::path::PathBuf;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout};
 use tracing::{info, warn};
 
 /// Inputs that wait for the core. When they are this many, whoever brings the next one waits: proxies are read
 /// from and operators answered later, and nothing is lost.
 const INPUTS_MOST: usize = 4096;
+/// How long the answer to an operator waits for what it answers to be written.
+const REPLY_WAITS: Duration = Duration::from_millis(250);
 
 #[derive(Clone, Debug, Default)]
 pub struct Options {
     /// Seed of this run; absent: drawn from the clock.
     pub seed: Option<u64>,
-    /// Where to write each input, a JSON line with its time.
-    pub record: Option<PathBuf>,
 }
 
-/// Runs a steward until SIGTERM or SIGINT.
+/// Runs a steward until SIGTERM or SIGINT. `text`: its settings, evaluated, for the records.
 ///
 /// Errors: a socket or file of its own cannot be had; nothing has been sent to any proxy then.
-pub async fn run(site: Site, options: Options) -> Result<(), DaemonError> {
+pub async fn run(site: Site, text: String, options: Options) -> Result<(), DaemonError> {
     let clock = Clock::start();
     let now = clock.now();
     let seed = options.seed.unwrap_or(wire::micros(now));
-    let mut record = options.record.map(Record::open).transpose()?;
     let (inputs, mut queue) = mpsc::channel(INPUTS_MOST);
+    let before = recorder::before(&site, now)?;
+    // Above that of any run before, whatever the clock says: proxies refuse the orders of an older one.
+    let epoch = wire::micros(now).max(before.epoch + 1);
+    let process = std::process::id();
+    let start = Start {
+        program: env!("CARGO_PKG_VERSION").into(),
+        settings: text,
+        seed,
+        process,
+        epoch,
+        at_us: wire::micros(now),
+        boot: recorder::boot(),
+    };
+    let mut recorder = before
+        .folder
+        .zip(site.records.clone())
+        .map(|(folder, records)| Recorder::start(folder, &records, start, clock, inputs.clone()));
     let callers = Callers::new(inputs.clone());
     let mut tasks = JoinSet::new();
     for of in &site.runtime_api {
@@ -66,9 +81,12 @@
         callers,
         inputs,
         site,
+        replies: JoinSet::new(),
+        awaits: None,
+        written: recorder.as_ref().map(Recorder::written),
     };
-    let mut core = Core::new(&edge.site, seed, std::process::id(), now);
-    let mut next = Some(Input::Tick);
+    let mut core = Core::new(&edge.site, seed, process, epoch, now);
+    let mut next = Some(before.known.map_or(Input::Tick, |known| Input::Recovered(Box::new(known))));
     loop {
         let input = match next.take() {
             Some(input) => input,
@@ -84,24 +102,35 @@
             }
         };
         let now = clock.now();
-        if let Some(file) = &mut record
-            && !file.write(now, &input)
-        {
-            record = None;
-        }
+        let taken = recorder.as_mut().map(|recorder| recorder.input(now, &input));
+        // An operator is told that something is done once it would survive.
+        edge.awaits = taken.filter(|_| matches!(input, Input::Command { .. }) && input.is_remembered());
         core.handle(now, input);
+        let mut decisions = Vec::new();
         while let Some(output) = core.next_output() {
+            if taken.is_some() {
+                decisions.push(output.clone());
+            }
             match (&output, &names) {
                 (Output::ViewChanged { .. }, Some(names)) => names.set(core.view()),
                 (Output::SayChanged { secondary }, Some(names)) => names.say_changed(*secondary),
                 _ => edge.carry_out(output),
             }
         }
+        if let Some(recorder) = &mut recorder {
+            recorder.decided(decisions);
+            if recorder.wants_snapshot(now) {
+                recorder.snapshot(now, core.remembered());
+            }
+        }
         // What came meanwhile is taken before the clock, or a busy steward would hear nothing but ticks.
         next = queue.try_recv().ok();
     }
     info!("steward stops; proxies keep their tables");
     tasks.shutdown().await;
+    if let Some(recorder) = recorder {
+        recorder.end(clock.now(), core.remembered()).await;
+    }
     Ok(())
 }
 
@@ -116,6 +145,11 @@
     callers: Callers,
     inputs: mpsc::Sender<Input>,
     site: Site,
+    replies: JoinSet<()>,
+    /// Up to which input the records are written; none: nothing is recorded.
+    written: Option<watch::Receiver<u64>>,
+    /// The input that an answer to an operator waits for.
+    awaits: Option<u64>,
 }
 
 impl Edge {
@@ -162,35 +196,19 @@
             }
             // Only with a DNS front, which the loop tells.
             Output::ViewChanged { .. } | Output::SayChanged { .. } => {}
-            Output::Reply { caller, text } => self.callers.reply(caller, text),
+            Output::Reply { caller, text } => match (self.awaits, self.written.clone()) {
+                (Some(n), Some(mut written)) => {
+                    let callers = self.callers.clone();
+                    while self.replies.try_join_next().is_some() {}
+                    self.replies.spawn(async move {
+                        // A disk that is slow makes nobody wait longer than this.
+                        timeout(REPLY_WAITS, written.wait_for(|up_to| *up_to >= n)).await.ok();
+                        callers.reply(caller, text);
+                    });
+                }
+                _ => self.callers.reply(caller, text),
+            },
             Output::Event(event) => log::event(&event),
         }
     }
 }
-
-/// Inputs as JSON lines, each with its time in microseconds.
-struct Record {
-    file: PathBuf,
-    out: BufWriter<File>,
-}
-
-impl Record {
-    fn open(file: PathBuf) -> Result<Record, DaemonError> {
-        match File::create(&file) {
-            Ok(out) => Ok(Record { file, out: BufWriter::new(out) }),
-            Err(wrong) => Err(DaemonError::Record { file, wrong }),
-        }
-    }
-
-    /// Gives whether records go on: a full disk ends them, not the steward.
-    fn write(&mut self, now: Time, input: &Input) -> bool {
-        let line = serde_json::to_string(&(wire::micros(now), input)).unwrap_or_default();
-        match writeln!(self.out, "{line}") {
-            Ok(()) => true,
-            Err(wrong) => {
-                warn!(file = %self.file.display(), %wrong, "records end here");
-                false
-            }
-        }
-    }
-}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 //! - `desk`: operators at the steward's sockets, and the answers they wait for.
 //! - `hosts_file`: follows the list of hosts.
 //! - `probe`: asks hosts over HTTP.
+//! - `recorder`: records on the way to the disk, and what was found there.
 //! - `clock`, `log`: time that never goes back; events as structured logs.
 
 mod clock;
@@ -16,6 +17,7 @@
 mod hosts_file;
 mod log;
 mod probe;
+mod recorder;
 
 pub use daemon::{Options, run};
 pub use error::DaemonError;
--- a/crates/dns-front/benches/answers.rs
+++ b/crates/dns-front/benches/answers.rs
@@ -78,7 +78,9 @@
     let zone = zone(proxies);
     let view = view(proxies, (proxies / 5).min(400), 8);
     let mut members = Members::new(Span::from_millis(5_000), 60_000);
-    (0..proxies).for_each(|p| drop(members.asked(NOW, ProxyId(p as u16))));
+    for p in 0..proxies {
+        members.asked(NOW, ProxyId(p as u16));
+    }
     let tracked = resident().saturating_sub(before);
     let begun = Instant::now();
     let rows = rows(&zone, &view);
--- a/crates/dns-rules/src/held.rs
+++ b/crates/dns-rules/src/held.rs
@@ -28,6 +28,9 @@
     replaced: Option<Time>,
 }
 
+/// A version of another run that somebody may still hold: table, serial, until when, and its hosts.
+pub type Kept = (TableId, u32, Time, BTreeMap<HostId, Named>);
+
 #[derive(Clone, Debug, Default)]
 pub struct Held {
     tables: BTreeMap<TableId, VecDeque<Version>>,
@@ -75,6 +78,19 @@
         }
     }
 
+    /// Takes up what somebody may still hold of another run: by versions that are no table's any more.
+    pub fn recover(&mut self, now: Time, kept: Vec<Kept>) {
+        for (table, serial, until, hosts) in kept {
+            let version = Version { serial, hosts, until, replaced: Some(now) };
+            self.tables.entry(table).or_default().push_back(version);
+        }
+        for versions in self.tables.values_mut() {
+            let serial = versions.back().map_or(0, |version| version.serial);
+            let nothing = Version { serial, hosts: BTreeMap::new(), until: Time::default(), replaced: None };
+            versions.push_back(nothing);
+        }
+    }
+
     /// Until when somebody may still meet a host by what was answered before it left all tables; none: nobody.
     pub fn until(&self, now: Time, host: &HostId) -> Option<Time> {
         let versions = self.tables.values().flatten();
--- a/crates/proxy-front/src/session.rs
+++ b/crates/proxy-front/src/session.rs
@@ -95,6 +95,12 @@
         }
     }
 
+    /// Whether the proxy may pick a host for any kind, as far as it has said; none: it has not said anything yet.
+    pub fn holds(&self, host: &HostId) -> Option<bool> {
+        let holds = |((_, own), line): (&(KindId, HostId), &HeldLine)| own == host && line.serves();
+        self.learned.then(|| self.held.lines.iter().any(holds))
+    }
+
     /// Whether all that was asked is answered.
     pub fn is_quiet(&self) -> bool {
         self.asked.is_empty()
--- a/crates/settings/src/jsonnet.rs
+++ b/crates/settings/src/jsonnet.rs
@@ -21,6 +21,13 @@
 ///
 /// Errors: the file is missing, is no Jsonnet, or its result does not fit `T`.
 pub(crate) fn read<T: DeserializeOwned>(file: &Path) -> Result<T, SettingsError> {
+    parse(file, &evaluate(file)?)
+}
+
+/// The file's result as JSON.
+///
+/// Errors: the file is missing or is no Jsonnet.
+pub(crate) fn evaluate(file: &Path) -> Result<String, SettingsError> {
     // The evaluator tells of a missing file without its name.
     std::fs::metadata(file).map_err(|wrong| SettingsError::Unreadable { file: file.to_path_buf(), wrong })?;
     let evaluator = EvaluationState::default();
@@ -30,7 +37,14 @@
         .evaluate_file_raw(file)
         .and_then(|value| evaluator.manifest(value))
         .map_err(|wrong| SettingsError::Jsonnet(one_line(&evaluator.stringify_err(&wrong))))?;
-    let mut json = serde_json::Deserializer::from_str(&json);
+    Ok(json.to_string())
+}
+
+/// Reads a result as a `T`; `file` is what messages name.
+///
+/// Errors: it does not fit `T`.
+pub(crate) fn parse<T: DeserializeOwned>(file: &Path, json: &str) -> Result<T, SettingsError> {
+    let mut json = serde_json::Deserializer::from_str(json);
     serde_path_to_error::deserialize(&mut json).map_err(|wrong| {
         let key = wrong.path().to_string();
         // The line numbers of the evaluated text are nobody's: the key's path says where.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -17,5 +17,5 @@
 pub use jsonnet::SettingsError;
 pub use plan::{PlanSite, read_plan};
 pub use proxy::{ProxySite, read_proxy};
-pub use site::{Site, read_site};
+pub use site::{Site, read_site, read_site_text, site_from_text};
 pub use units::{Endpoint, Length};
--- a/crates/settings/src/site.rs
+++ b/crates/settings/src/site.rs
@@ -44,6 +44,9 @@
     /// Whether the list's weights are used as they are, or as a solver sets them under what hosts can do.
     #[serde(default)]
     pub weights: Weights,
+    /// What is recorded, and where; absent: nothing.
+    #[serde(default)]
+    pub records: Option<Records>,
     /// The DNS front; absent: none.
     #[serde(default)]
     pub dns: Option<Dns>,
@@ -156,6 +159,46 @@
     Off,
 }
 
+/// What a steward records of its course, for its next start, for replays, and for who asks what happened.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Records {
+    /// Of this steward alone.
+    pub folder: PathBuf,
+    /// In bytes, as the two below.
+    #[serde(default = "segment_bytes")]
+    pub segment_bytes: u64,
+    #[serde(default = "all_bytes")]
+    pub all_bytes: u64,
+    #[serde(default = "kept_days")]
+    pub kept_days: f64,
+    /// What a machine that stops may lose.
+    #[serde(default = "sure_within")]
+    pub sure_within: Length,
+    #[serde(default = "snapshot_every")]
+    pub snapshot_every: Length,
+}
+
+fn segment_bytes() -> u64 {
+    16 << 20
+}
+
+fn all_bytes() -> u64 {
+    1 << 30
+}
+
+fn kept_days() -> f64 {
+    14.0
+}
+
+fn sure_within() -> Length {
+    Length::millis(200)
+}
+
+fn snapshot_every() -> Length {
+    Length::millis(10_000)
+}
+
 /// The DNS front: tables as answers.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -414,6 +457,17 @@
                 return wrong(&format!("dns.secondaries[{n}].key"), text);
             }
         }
+        if let Some(records) = &self.records {
+            let bytes = |key: &str, bytes: u64, least: u64| {
+                let text = format!("{bytes} is under {least}");
+                if bytes < least { Err((format!("records.{key}"), text)) } else { Ok(()) }
+            };
+            bytes("segment_bytes", records.segment_bytes, 1 << 16)?;
+            bytes("all_bytes", records.all_bytes, 2 * records.segment_bytes)?;
+            within("records.kept_days", records.kept_days, 0.01, 3_650.0)?;
+            span_within("records.sure_within", records.sure_within, 10, 60_000)?;
+            span_within("records.snapshot_every", records.snapshot_every, 100, 3_600_000)?;
+        }
         let links = &self.links;
         span_within("links.answer_limit", links.answer_limit, 50, 60_000)?;
         span_within("links.dial_limit", links.dial_limit, 10, 60_000)?;
@@ -465,8 +519,15 @@
 /// Errors: the file cannot be read or evaluated (with file and line), a key is unknown, missing or of the wrong
 /// kind, or a figure is out of its range (with file and the key's path).
 pub fn read_site(file: &Path) -> Result<Site, SettingsError> {
-    let mut site: Site = jsonnet::read(file)?;
-    site.check().map_err(|(key, wrong)| SettingsError::Key { file: file.to_path_buf(), key, wrong })?;
+    read_site_text(file).map(|(site, _)| site)
+}
+
+/// As `read_site`, and the evaluated settings as JSON, which `site_from_text` takes.
+///
+/// Errors: as `read_site`.
+pub fn read_site_text(file: &Path) -> Result<(Site, String), SettingsError> {
+    let text = jsonnet::evaluate(file)?;
+    let mut site: Site = checked(file, &text)?;
     let folder = file.parent().unwrap_or(Path::new("")).to_path_buf();
     site.hosts_file = folder.join(&site.hosts_file);
     for proxy in &mut site.proxies {
@@ -478,5 +539,21 @@
     for listener in &mut site.runtime_api {
         listener.listen = listener.listen.clone().seen_from(&folder);
     }
+    if let Some(records) = &mut site.records {
+        records.folder = folder.join(&records.folder);
+    }
+    Ok((site, text))
+}
+
+/// Settings that were evaluated before. Paths stay as they are written.
+///
+/// Errors: a key is unknown, missing or of the wrong kind, or a figure is out of its range.
+pub fn site_from_text(text: &str) -> Result<Site, SettingsError> {
+    checked(Path::new("settings"), text)
+}
+
+fn checked(file: &Path, text: &str) -> Result<Site, SettingsError> {
+    let site: Site = jsonnet::parse(file, text)?;
+    site.check().map_err(|(key, wrong)| SettingsError::Key { file: file.to_path_buf(), key, wrong })?;
     Ok(site)
 }
--- a/crates/steward/src/core.rs
+++ b/crates/steward/src/core.rs
@@ -3,6 +3,7 @@
 use crate::course::Course;
 use crate::names::Names;
 use crate::operator;
+use crate::remembered::Remembered;
 use crate::wire::{Input, Output};
 use pondarch::types::Time;
 use pondarch_dns_front::View;
@@ -17,9 +18,15 @@
 
 impl Core {
     /// `seed` for all chance of this run; `process` is the number that `show info` gives as the steward's own. The
-    /// mark that joined proxies get tells this start of this steward from any other.
-    pub fn new(site: &Site, seed: u64, process: u32, now: Time) -> Core {
-        Core { course: Course::new(site, seed, process, now) }
+    /// mark that joined proxies get tells this start of this steward from any other: `epoch` must be higher than that of
+    /// any start before, or proxies refuse its orders as older ones.
+    pub fn new(site: &Site, seed: u64, process: u32, epoch: u64, now: Time) -> Core {
+        Core { course: Course::new(site, seed, process, epoch, now) }
+    }
+
+    /// What a steward that starts again must still know, for `Input::Recovered`.
+    pub fn remembered(&self) -> Remembered {
+        self.course.remembered()
     }
 
     pub fn handle(&mut self, now: Time, input: Input) {
--- a/crates/steward/src/course.rs
+++ b/crates/steward/src/course.rs
@@ -8,7 +8,7 @@
 use crate::peer::{Link, Peer};
 use crate::round::Rounds;
 use crate::weigher::Weigher;
-use crate::wire::{Event, Input, LoadTold, Output};
+use crate::wire::{Event, Input, LoadTold, Output, RecordsState};
 use crate::zones::Zones;
 use pondarch::Steward;
 use pondarch::types::{Admission, HostId, Listing, Load, Met, Span, Time};
@@ -51,6 +51,8 @@
     pub(crate) loads: BTreeMap<HostId, (Time, LoadTold)>,
     pub(crate) met: BTreeMap<HostId, Met>,
     pub(crate) load_at: Option<Time>,
+    /// None: nothing is recorded.
+    pub(crate) records: Option<RecordsState>,
     pub(crate) inputs: u64,
     pub(crate) cause: String,
     pub(crate) events: VecDeque<(Time, Event)>,
@@ -60,10 +62,11 @@
 
 impl Course {
     /// `seed` for all chance of this run; `process` is the number that `show info` gives as the steward's own. The
-    /// mark that joined proxies get tells this start of this steward from any other.
-    pub(crate) fn new(site: &Site, seed: u64, process: u32, now: Time) -> Course {
+    /// mark that joined proxies get tells this start of this steward from any other: `epoch` must be higher than that of
+    /// any start before, or proxies refuse its orders as older ones.
+    pub(crate) fn new(site: &Site, seed: u64, process: u32, epoch: u64, now: Time) -> Course {
         let ticket = site.ticket();
-        let mark = format!("{}:{}", site.name, crate::wire::micros(now));
+        let mark = format!("{}:{epoch}", site.name);
         let front = Arc::new(front(site, &mark));
         let zone = |name: &str| site.zones.iter().position(|z| z == name).unwrap_or(0) as u16;
         let peer = |(n, p): (usize, &pondarch_settings::site::Proxy)| {
@@ -103,6 +106,7 @@
             loads: BTreeMap::new(),
             met: BTreeMap::new(),
             load_at: load_every.map(|every| now + every),
+            records: None,
             inputs: 0,
             cause: String::new(),
             events: VecDeque::new(),
@@ -154,6 +158,12 @@
         self.cause = format!("#{} {}", self.inputs, self.named(&input));
         match input {
             Input::Tick => {}
+            Input::Recovered(known) => self.recovered(*known),
+            Input::Records(state) => {
+                let RecordsState { stopped, lost } = state.clone();
+                self.records = Some(state);
+                self.tell(Event::Records { stopped, lost });
+            }
             Input::List { version, hosts } => match self.list.file_came(self.now, version, hosts) {
                 Ok(listings) => self.list_changed(listings),
                 Err(wrong) => self.list_refused(wrong),
@@ -186,6 +196,8 @@
         let proxy = |n: u16| self.peers.get(n as usize).map_or("?", |peer| peer.name.as_str());
         match input {
             Input::Tick => "beat".into(),
+            Input::Recovered(_) => "recovered".into(),
+            Input::Records(_) => "records".into(),
             Input::List { version, .. } => format!("list {}", version.map_or("-".into(), |v| v.to_string())),
             Input::ListRefused { .. } => "list refused".into(),
             Input::Connected { proxy: n, .. } => format!("{} connected", proxy(*n)),
--- a/crates/steward/src/follow.rs
+++ b/crates/steward/src/follow.rs
@@ -62,7 +62,8 @@
                 Ruling::Level { table, kind, quota, tries } => {
                     self.books.level(table, kind, quota, tries);
                     touched.insert(table);
-                    let (kind, tries) = (self.kinds[kind.0 as usize].clone(), table::tries_word(tries));
+                    let (kind, tries) =
+                        (self.kinds[kind.0 as usize].clone(), table::tries_word(tries).into());
                     let cause = self.cause.clone();
                     self.tell(Event::LevelChanged { table: table.0, kind, quota, tries, cause });
                 }
@@ -156,14 +157,14 @@
                     let (proxy, conn) = (peer.id.0, peer.conn);
                     let lines = peer.session.order(now, batch);
                     self.out.push_back(Output::Write { proxy, conn, lines });
-                    let (proxy, urgency) = (peer.name.clone(), urgency_word(urgency));
+                    let (proxy, urgency) = (peer.name.clone(), urgency_word(urgency).into());
                     self.tell(Event::Ordered { proxy, commands, urgency, cause });
                 }
                 Room::At(at, why) => {
                     peer.blocked_until = Some(at);
                     let proxy = peer.name.clone();
                     if why != "pace" {
-                        self.tell(Event::Waits { proxy, why });
+                        self.tell(Event::Waits { proxy, why: why.into() });
                     }
                 }
                 // Whoever is behind this one waits as well, or small messages would keep a large one out for ever.
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -10,6 +10,7 @@
 //! - `channel`: how much may be sent, and when.
 //! - `peer`: one proxy: dialled, looked at, joined, lost.
 //! - `weigher`: weights as a solver sets them, between the list and the module.
+//! - `remembered`: what a steward that starts again must still know.
 //! - `round`: sums of all proxies gathered into one look.
 //! - `operator`, `zones`: the runtime API of the steward itself, and the map that operators set.
 
@@ -22,10 +23,12 @@
 pub mod names;
 mod operator;
 mod peer;
+pub mod remembered;
 mod round;
 mod weigher;
 pub mod wire;
 mod zones;
 
 pub use crate::core::Core;
-pub use wire::{Event, Input, LoadTold, Output};
+pub use remembered::Remembered;
+pub use wire::{Event, Input, LoadTold, Output, RecordsState};
--- a/crates/steward/src/list.rs
+++ b/crates/steward/src/list.rs
@@ -1,18 +1,20 @@
 //! The hosts as the file lists them, with what operators said over it.
 
+use crate::remembered::{RememberedHost, RememberedList};
+use crate::wire::micros;
 use pondarch::types::{CellId, HostId, Listing, MachineId, Span, Standing, Time, ZoneId};
 use pondarch_settings::HostEntry;
 use pondarch_settings::hosts::HostState;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// What an operator said of a host; it goes over the file until taken back or the file drops the host.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Edit {
     pub(crate) state: Option<HostState>,
     pub(crate) weight: Option<f64>,
     pub(crate) address: Option<SocketAddr>,
-    pub(crate) started: Option<Time>,
 }
 
 /// One host, file and operators taken together.
@@ -111,7 +113,7 @@
                 Standing::Open => None,
                 _ => before.and_then(|known| known.told_away).or(Some(now)),
             };
-            let started = edit.started.unwrap_or_else(|| started(now, first, &entry, before));
+            let started = started(now, first, &entry, before);
             known.insert(id, Known { entry, started, standing, told_away });
         }
         // A host that is listed no more stays known as gone: proxies may still hold it.
@@ -126,6 +128,51 @@
         self.complete()
     }
 
+    /// What of it outlives the steward. Times are as they were then.
+    pub(crate) fn remembered(&self) -> RememberedList {
+        let host = |(_, k): (&HostId, &Known)| RememberedHost {
+            entry: k.entry.clone(),
+            started_us: micros(k.started),
+            standing: match k.standing {
+                Standing::Open => HostState::Ready,
+                Standing::Draining => HostState::Drain,
+                Standing::Gone => HostState::Gone,
+            },
+            told_away_us: k.told_away.map(micros),
+        };
+        RememberedList {
+            file: self.file.clone(),
+            file_version: self.file_version,
+            added: self.added.values().cloned().collect(),
+            edits: self.edits.iter().map(|(id, edit)| (id.0.to_string(), edit.clone())).collect(),
+            hosts: self.known.iter().map(host).collect(),
+        }
+    }
+
+    /// Takes up what was known; gives the complete list for the module. Hosts in zones that the settings no longer have
+    /// are left behind: the file says where they are now.
+    pub(crate) fn recover(&mut self, old: RememberedList) -> Vec<Listing> {
+        let id = |name: &str| HostId(name.into());
+        let zones = self.zones.clone();
+        let fits = |entry: &HostEntry| zones.contains(&entry.zone);
+        self.file = old.file.into_iter().filter(&fits).collect();
+        self.file_version = old.file_version;
+        self.added = old.added.into_iter().filter(&fits).map(|entry| (id(&entry.name), entry)).collect();
+        self.edits = old.edits.into_iter().map(|(name, edit)| (id(&name), edit)).collect();
+        let known = |host: RememberedHost| {
+            let standing = match host.standing {
+                HostState::Ready => Standing::Open,
+                HostState::Drain => Standing::Draining,
+                HostState::Gone => Standing::Gone,
+            };
+            let (started, told_away) =
+                (Time::from_micros(host.started_us), host.told_away_us.map(Time::from_micros));
+            (id(&host.entry.name), Known { entry: host.entry, started, standing, told_away })
+        };
+        self.known = old.hosts.into_iter().filter(|host| fits(&host.entry)).map(known).collect();
+        self.complete()
+    }
+
     /// The same hosts with other weights for the module.
     pub(crate) fn reweigh(&mut self, handed: BTreeMap<HostId, f64>) -> Vec<Listing> {
         self.handed = handed;
--- a/crates/steward/src/names.rs
+++ b/crates/steward/src/names.rs
@@ -4,6 +4,7 @@
 use crate::course::Course;
 use crate::list::{HostList, Known};
 use crate::peer::Link;
+use crate::remembered::RememberedHost;
 use crate::wire::{Event, Output, micros};
 use pondarch::types::{HostId, Met, ProxyId, Span, Standing, TableId, Time};
 use pondarch_dns_front::{Line, STANDING, View};
@@ -19,6 +20,11 @@
 /// Whoever is not known is one of so many strangers. Each is bound like a proxy, so that no table is given away that the
 /// module keeps no longer, and strangers do not all meet the same few hosts.
 const STRANGERS: usize = 4;
+/// Serials that an earlier run may have given out after its last record: some a second, for the seconds that records may
+/// be late.
+const UNSEEN_SERIALS: u32 = 100;
+/// Stands for all that an earlier run gave away.
+const BEFORE: TableId = TableId(u16::MAX - 2);
 /// How often it is noted that copies of the zone are being answered from.
 const SERVED_EVERY: Span = Span::from_millis(100);
 
@@ -38,6 +44,8 @@
     secondaries: Secondaries,
     keys: Vec<String>,
     served: Time,
+    /// When hosts' own words were last taken for looks.
+    told: Time,
     strangers: Vec<ProxyId>,
 }
 
@@ -76,6 +84,7 @@
             secondaries: Secondaries::new(dns.secondaries.len(), dns.behind.0, dns.expires.0),
             keys: dns.secondaries.iter().map(|secondary| secondary.key.clone()).collect(),
             served: Time::default(),
+            told: Time::default(),
             strangers: (0..STRANGERS).map(|n| ProxyId((site.proxies.len() + n) as u16)).collect(),
         })
     }
@@ -134,6 +143,31 @@
         self.keys.iter().cloned().zip(self.secondaries.states().map(word)).collect()
     }
 
+    /// Serials go on from there. Whatever caches were given in the run's last moment they may hold for a while: any host that
+    /// was known then, and of one that had just started the process before it.
+    pub(crate) fn recover(&mut self, now: Time, last: Time, serial: u32, hosts: &[RememberedHost]) {
+        // What the run gave out after its last record is not known: a secondary that has it must see a newer one.
+        self.view = Arc::new(View { serial: serial.wrapping_add(UNSEEN_SERIALS), ..View::default() });
+        let until = last + self.holds;
+        if until <= now {
+            return;
+        }
+        let (mut known, mut before) = (BTreeMap::new(), BTreeMap::new());
+        for host in hosts {
+            let (id, started) = (HostId(host.entry.name.as_str().into()), Time::from_micros(host.started_us));
+            let long_away = host.told_away_us.is_some_and(|at| Time::from_micros(at) + self.holds <= last);
+            if long_away {
+                continue;
+            }
+            let named = Named { part: 1.0, addr: host.entry.address, started };
+            if !started.is_unset() && last - started < self.holds {
+                before.insert(id.clone(), Named { started: Time::default(), ..named });
+            }
+            known.insert(id, named);
+        }
+        self.held.recover(now, vec![(BEFORE, serial, until, before), (BEFORE, serial, until, known)]);
+    }
+
     /// Hosts of the list that started anew and are still met by answers from before.
     fn found_echoes(&self, now: Time, list: &HostList) -> BTreeMap<HostId, Time> {
         let cold =
@@ -245,20 +279,19 @@
 
     /// DNS brings no sums: of hosts that only proxies without a runtime API meet, what they say of themselves is all
     /// there is, and stands for a look at them. One that says nothing was not seen.
-    pub(crate) fn told_of_themselves(&self) -> BTreeMap<HostId, Met> {
-        if self.names.is_none() {
-            return BTreeMap::new();
-        }
+    pub(crate) fn told_of_themselves(&mut self) -> BTreeMap<HostId, Met> {
+        let now = self.now;
+        let Some(names) = &mut self.names else { return BTreeMap::new() };
+        let last = std::mem::replace(&mut names.told, now);
         // Where proxies bring sums, those are the evidence: a host that hangs may still answer a short question.
         let looked_at = self.peers.iter().filter(|peer| peer.is_joined());
         let tables: BTreeSet<TableId> = looked_at.flat_map(|peer| peer.bound.values().copied()).collect();
         let of = |table: &TableId| self.books.books.get(table).into_iter().flat_map(|book| book.dealt.keys());
         let looked_at: BTreeSet<&HostId> = tables.iter().flat_map(of).collect();
-        // Each word counts once: as the look of the report period that it came in.
-        let since = self.load_every.unwrap_or(self.report_every);
-        let told =
-            self.loads.iter().filter(|(host, (at, _))| !looked_at.contains(host) && self.now - *at < since);
-        told.map(|(host, (_, told))| (host.clone(), told.met(since))).collect()
+        // Each word counts once, for the time since the last ones were taken.
+        let over = (now - last).min(self.report_every.times(2.0));
+        let told = self.loads.iter().filter(|(host, (at, _))| !looked_at.contains(host) && *at > last);
+        told.map(|(host, (_, told))| (host.clone(), told.met(over))).collect()
     }
 
     pub(crate) fn secondary_heard(&mut self, n: u16, heard: Heard) {
--- a/crates/steward/src/operator.rs
+++ b/crates/steward/src/operator.rs
@@ -80,7 +80,7 @@
             core.events.iter().map(line).collect()
         }
         Command::ShowMaps => {
-            let names = ["levels", "tries", "proxies", "weights", "lingering", "secondaries", ZONES];
+            let names = ["levels", "tries", "proxies", "weights", "lingering", "owed", "secondaries", ZONES];
             let line = |(n, name): (usize, &&str)| format!("{n} ({name}) pondarch: {}\n", of_map(name));
             std::iter::once("# id (file) description\n".to_string())
                 .chain(names.iter().enumerate().map(line))
@@ -189,6 +189,7 @@
         "tries" => "when proxies try again, by table and kind",
         "proxies" => "each proxy's link and table",
         "lingering" => "hosts in no table that DNS caches may still hold, and for how many seconds",
+        "owed" => "hosts to be left alone that proxies may still hold, since when and by whom",
         "secondaries" => "copies of the DNS zone: what each holds, and for how long it is behind",
         "weights" => "the weight that decisions go by, by host",
         _ => "zone by host; can be set",
@@ -233,6 +234,7 @@
             let left = |(host, until): (String, Time)| (host, format!("{:.1}", (until - core.now).secs()));
             Some(lingering.into_iter().map(left).collect())
         }
+        "owed" => Some(core.owed()),
         "secondaries" => Some(core.names.as_ref().map(|names| names.copies(core.now)).unwrap_or_default()),
         "weights" => {
             let of = |(id, known): (&HostId, &Known)| {
@@ -288,6 +290,13 @@
         info.put("NamesSerial", names.view().serial);
         info.put("NamesHoldTooLong", if too_long.is_empty() { "-".into() } else { too_long.join(" ") });
     }
+    if let Some(records) = &core.records {
+        info.put(
+            "Records",
+            records.stopped.as_ref().map_or("written".into(), |why| format!("stopped: {why}")),
+        );
+        info.put("RecordsLost", records.lost);
+    }
     info.put("LinesWaiting", core.channel.waiting().round() as u64);
     info.put("LinesOrdered", core.peers.iter().map(|peer| peer.ordered).sum::<u64>());
     info.put("LinesRefused", core.peers.iter().map(|peer| peer.refused).sum::<u64>());
--- a/crates/steward/src/peer.rs
+++ b/crates/steward/src/peer.rs
@@ -82,6 +82,10 @@
         !matches!(self.link, Link::Down(_) | Link::Dialling | Link::ByName { .. })
     }
 
+    pub(crate) fn has_runtime(&self) -> bool {
+        !matches!(self.link, Link::ByName { .. })
+    }
+
     pub(crate) fn is_joined(&self) -> bool {
         self.link == Link::Joined
     }
--- a/crates/steward/src/weigher.rs
+++ b/crates/steward/src/weigher.rs
@@ -160,7 +160,7 @@
         let news = std::mem::replace(&mut weigher.told, source) != source;
         self.steward.plan_came(now, let_in);
         if news {
-            self.tell(Event::WeightsFrom { source: source.word() });
+            self.tell(Event::WeightsFrom { source: source.word().into() });
         }
         let Some(handed) = stepped else { return };
         let moved = handed.iter().filter(|(host, weight)| self.list.handed.get(host) != Some(weight));
--- a/crates/steward/src/wire.rs
+++ b/crates/steward/src/wire.rs
@@ -1,15 +1,21 @@
 //! What goes into a steward's core and what comes out of it. Both can be recorded.
 
+use crate::remembered::Remembered;
 use pondarch::types::{Load, Met, Span, Time};
 use pondarch_dns_rules::Heard;
 use pondarch_settings::HostEntry;
 use pondarch_weights::{Fleet, Plan};
 use serde::{Deserialize, Serialize};
+use std::borrow::Cow;
 use std::net::SocketAddr;
 
 /// Something that happened. `conn` tells one connection to a proxy from the next.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Input {
+    /// What a steward of this name knew before, as it was recorded: the first input of a run, or none.
+    Recovered(Box<Remembered>),
+    /// How it goes with the records, where that changed.
+    Records(RecordsState),
     /// The time that was asked for has come.
     Tick,
     List {
@@ -67,6 +73,15 @@
     },
 }
 
+/// How it goes with the records.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct RecordsState {
+    /// Why nothing is written; none: it is.
+    pub stopped: Option<String>,
+    /// Inputs that were not recorded so far.
+    pub lost: u64,
+}
+
 /// A host's own word on its load.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct LoadTold {
@@ -84,7 +99,7 @@
 }
 
 /// Something to be done, in the order given.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Output {
     Dial {
         proxy: u16,
@@ -126,7 +141,7 @@
 }
 
 /// What there is to tell, with the input that led to it.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Event {
     ListTaken {
         version: u64,
@@ -161,13 +176,13 @@
         table: u16,
         kind: String,
         quota: f64,
-        tries: &'static str,
+        tries: Cow<'static, str>,
         cause: String,
     },
     Ordered {
         proxy: String,
         commands: usize,
-        urgency: &'static str,
+        urgency: Cow<'static, str>,
         cause: String,
     },
     Applied {
@@ -181,11 +196,11 @@
     /// The channel or the cap makes this proxy's orders wait.
     Waits {
         proxy: String,
-        why: &'static str,
+        why: Cow<'static, str>,
     },
     /// Where the weights in use come from now: solved, last good or listed.
     WeightsFrom {
-        source: &'static str,
+        source: Cow<'static, str>,
     },
     /// Weights that decisions go by from now on, those that changed only.
     Weighed {
@@ -195,6 +210,17 @@
     PlanFailed {
         wrong: String,
     },
+    /// What was known before is known again: hosts by where they stand.
+    Recovered {
+        ready: usize,
+        draining: usize,
+        gone: usize,
+    },
+    /// Records are written again, or not any more: why.
+    Records {
+        stopped: Option<String>,
+        lost: u64,
+    },
     /// A host that started anew is left out of all tables while DNS caches hold answers from before its start.
     KeptOut {
         host: String,
@@ -211,6 +237,18 @@
     },
 }
 
+impl Input {
+    /// Whether it says anything that a steward that starts again must still know. What is seen of proxies and hosts is
+    /// old by then, and asked for anew.
+    pub fn is_remembered(&self) -> bool {
+        match self {
+            Input::Recovered(_) | Input::List { .. } => true,
+            Input::Command { line, .. } => !line.starts_with("show"),
+            _ => false,
+        }
+    }
+}
+
 impl LoadTold {
     pub(crate) fn of(load: &Load) -> LoadTold {
         let service_ms = load.service.map(|span| span.secs() * 1e3);
--- a/crates/steward/src/zones.rs
+++ b/crates/steward/src/zones.rs
@@ -26,6 +26,11 @@
         &self.entries
     }
 
+    /// What was known before; versions under way are nobody's any more.
+    pub(crate) fn recover(&mut self, entries: Entries) {
+        self.entries = entries;
+    }
+
     pub(crate) fn version(&self, version: u64) -> Option<&Entries> {
         self.prepared.get(&version)
     }
--- a/crates/steward/tests/in_memory/hard_cases.rs
+++ b/crates/steward/tests/in_memory/hard_cases.rs
@@ -298,7 +298,7 @@
 #[test]
 fn before_the_first_list_nothing_is_touched() {
     let site = site(2);
-    let mut core = pondarch_steward::Core::new(&site, 7, 1, pondarch::types::Time::from_micros(START));
+    let mut core = pondarch_steward::Core::new(&site, 7, 1, START, pondarch::types::Time::from_micros(START));
     for n in 1..40u64 {
         core.handle(pondarch::types::Time::from_micros(START + n * 250_000), Input::Tick);
     }
--- a/crates/steward/tests/in_memory/names.rs
+++ b/crates/steward/tests/in_memory/names.rs
@@ -7,7 +7,7 @@
 use pondarch_settings::Length;
 use pondarch_settings::hosts::HostState;
 use pondarch_settings::site::{Dns, Secondary};
-use pondarch_steward::{Event, Input, Output};
+use pondarch_steward::{Event, Input, LoadTold, Output};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Two proxies with a runtime API, and two that ask for names; answers live 4 s, or 3 s with secondaries.
@@ -16,6 +16,11 @@
 }
 
 fn town_with(secondaries: Vec<Secondary>) -> Town {
+    town_of(secondaries, &[2, 3])
+}
+
+/// These of four proxies ask by name.
+fn town_of(secondaries: Vec<Secondary>, by_name: &[usize]) -> Town {
     let mut site = site(4);
     site.dns = Some(Dns {
         zone: "pond.example".into(),
@@ -28,11 +33,10 @@
         behind: Length::millis(1_000),
         expires: Length::millis(60_000),
     });
-    site.proxies[2].runtime = None;
-    site.proxies[3].runtime = None;
+    by_name.iter().for_each(|&n| site.proxies[n].runtime = None);
     let mut town = Town::open(&site, 12);
     town.run(3_000);
-    assert_eq!(town.info("ProxiesJoined"), 2);
+    assert_eq!(town.info("ProxiesJoined"), 4 - by_name.len() as u64);
     town
 }
 
@@ -102,6 +106,44 @@
     assert_eq!(town.info("NamesAsking"), 1);
 }
 
+/// What hosts say of themselves, where no proxy brings sums: one is as busy as can be, one says nothing.
+#[test]
+fn a_host_that_only_plain_proxies_meet_is_judged_by_its_own_word() {
+    let mut town = town_of(Vec::new(), &[0, 1, 2, 3]);
+    let word = |n: usize| LoadTold {
+        busy: Some(if n == 5 { 1.0 } else { 0.3 }),
+        queue: Some(if n == 5 { 9.0 } else { 0.0 }),
+        service_ms: None,
+        rate: Some(8.0),
+        errored_rate: Some(0.0),
+    };
+    let weight = |town: &Town, name: &str| {
+        let view = town.core.view();
+        let lines = view.tables.iter().filter(|(table, _)| **table != STANDING).flat_map(|(_, lines)| lines);
+        lines.filter(|line| *line.host.0 == *name).map(|line| line.weight).sum::<f64>()
+    };
+    let mut before = (0.0, 0.0);
+    for step in 0..60 {
+        (0..4).for_each(|proxy| asks(&mut town, proxy));
+        for n in (0..12).filter(|n| step < 20 || *n != 7) {
+            let load = Some(if step < 20 {
+                LoadTold { busy: Some(0.3), queue: Some(0.0), ..word(n) }
+            } else {
+                word(n)
+            });
+            town.give(Input::Probed { host: format!("host-{n}"), for_load: true, good: true, load });
+        }
+        if step == 19 {
+            before = (weight(&town, "host-5"), weight(&town, "host-7"));
+        }
+        town.run(500);
+    }
+    assert!(before.0 > 0.0 && before.1 > 0.0);
+    let after = (weight(&town, "host-5"), weight(&town, "host-7"));
+    assert!(after.0 < before.0 * 0.7, "busy: {} after {}", after.0, before.0);
+    assert!(after.1 < before.1 * 0.1, "silent: {} after {}", after.1, before.1);
+}
+
 #[test]
 fn a_drain_leaves_the_answers_at_once_and_lingers_no_longer_than_the_grace() {
     let mut town = town();
--- a/crates/steward/tests/in_memory/replay.rs
+++ b/crates/steward/tests/in_memory/replay.rs
@@ -7,7 +7,7 @@
 use proptest::prelude::*;
 
 fn played(inputs: &[(u64, Input)], site: &pondarch_settings::Site) -> Vec<Output> {
-    let mut core = Core::new(site, 7, 1, Time::from_micros(START));
+    let mut core = Core::new(site, 7, 1, START, Time::from_micros(START));
     let mut outputs = Vec::new();
     for (at, input) in inputs {
         core.handle(Time::from_micros(*at), input.clone());
--- a/crates/steward/tests/in_memory/town.rs
+++ b/crates/steward/tests/in_memory/town.rs
@@ -133,6 +133,7 @@
         crossing_price: 0.06,
         dropped_is_no_drain: false,
         weights: site::Weights::Listed,
+        records: None,
         dns: None,
         runtime_api: Vec::new(),
     }
@@ -159,7 +160,7 @@
             }
         };
         let fronts = site.proxies.iter().enumerate().map(front).collect();
-        let core = Core::new(site, 7, 1, Time::from_micros(START));
+        let core = Core::new(site, 7, 1, START, Time::from_micros(START));
         let mut town = Town {
             core,
             now: START,
--- a/crates/steward/tests/in_memory/weights.rs
+++ b/crates/steward/tests/in_memory/weights.rs
@@ -176,7 +176,7 @@
     }
     let mut site = site(4);
     site.weights = Weights::Solved;
-    let mut core = Core::new(&site, 7, 1, Time::from_micros(START));
+    let mut core = Core::new(&site, 7, 1, START, Time::from_micros(START));
     let mut outputs = Vec::new();
     for (at, input) in &town.inputs {
         let text = serde_json::to_string(input).expect("an input can be recorded");
