--- a/crates/cli/tests/daemon.rs
+++ b/crates/cli/tests/daemon.rs
@@ -153,8 +153,8 @@
     };
     assert!(status.success());
     assert!(!daemon.path("admin.sock").exists());
-    let records = std::fs::read_to_string(daemon.path("records")).expect("records");
-    assert!(records.lines().count() > 3);
+    let records = pondarch(&["records", "show", &daemon.path("records").display().to_string()]);
+    assert!(String::from_utf8_lossy(&records.stdout).lines().count() > 3);
 }
 
 #[test]
@@ -176,6 +176,6 @@
     // A second daemon does not take the first one's sockets.
     let output = pondarch(&["run", &site.display().to_string()]);
     assert_eq!(output.status.code(), Some(2));
-    assert!(String::from_utf8_lossy(&output.stderr).contains("cannot listen at"));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("another program writes records there"));
     daemon.wait("HostsReady: 6");
 }
--- a/crates/history/src/recover.rs
+++ b/crates/history/src/recover.rs
@@ -75,11 +75,11 @@
                 }
                 // The zone's serial is what the run gave out, not what a scratch core comes to.
                 Record::Decided { n, decisions } if (epoch, n) > from => {
-                    let views = decisions.iter().filter_map(|decision| match decision {
+                    let mut views = decisions.iter().rev().filter_map(|decision| match decision {
                         Decision::Output(Output::ViewChanged { serial }) => Some(*serial),
                         _ => None,
                     });
-                    serial = views.last().or(serial);
+                    serial = views.next().or(serial);
                 }
                 Record::Gap { first, last, why } if (epoch, last) > from => {
                     numbers.gap(epoch, last);
--- a/crates/rehearsal/src/bad_day/stage.rs
+++ b/crates/rehearsal/src/bad_day/stage.rs
@@ -101,8 +101,8 @@
             proxies
                 .push(Front::start(&name, zone, &ZONES, &kinds(), list.file(), seed, facts.clone()).await?);
         }
-        for s in 0..plan.stewards {
-            write_settings(&folder.join(format!("steward-{s}.jsonnet")), &settings(plan, s, dns[s]))
+        for (s, dns) in dns.iter().enumerate() {
+            write_settings(&folder.join(format!("steward-{s}.jsonnet")), &settings(plan, s, *dns))
                 .map_err(failed("settings cannot be written"))?;
         }
         let sockets = (0..plan.stewards).map(|s| folder.join(format!("steward-{s}.sock"))).collect();
