--- a/crates/cli/src/rehearse.rs
+++ b/crates/cli/src/rehearse.rs
@@ -3,7 +3,7 @@
 use crate::failed;
 use clap::{Args, Subcommand, ValueEnum};
 use pondarch_rehearsal::bad_day::RehearsalError;
-use pondarch_rehearsal::{bad_day, storm, trial, weighing};
+use pondarch_rehearsal::{bad_day, kills, storm, trial, weighing};
 use serde::Serialize;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -20,6 +20,18 @@
         /// How proxies get their tables.
         #[arg(long, value_enum, default_value_t = Fronts::Runtime)]
         fronts: Fronts,
+        /// Stewards record, and recover from their records.
+        #[arg(long)]
+        records: bool,
+        #[command(flatten)]
+        show: Show,
+    },
+    /// A steward killed again and again, in the middle of drains and under load; about 1.5 s a kill.
+    Kills {
+        #[arg(long, default_value_t = 20)]
+        times: usize,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
         #[command(flatten)]
         show: Show,
     },
@@ -111,7 +123,20 @@
 async fn played(scene: Scene) -> Result<bool, String> {
     let program = std::env::current_exe().map_err(|wrong| format!("cannot find this program: {wrong}"))?;
     match scene {
-        Scene::BadDay { seed, short, fronts, show } => {
+        Scene::Kills { times, seed, show } => {
+            if !(1..=1_000).contains(&times) {
+                return Err("1 to 1000 kills".into());
+            }
+            let folder = show.folder()?;
+            let report =
+                kills::play(times, seed, &program, &folder).await.map_err(|wrong| wrong.to_string())?;
+            show.print(&report, report.text())?;
+            if report.holds() {
+                show.tidy(&folder);
+            }
+            Ok(report.holds())
+        }
+        Scene::BadDay { seed, short, fronts, records, show } => {
             let folder = show.folder()?;
             let plan = if short { bad_day::Plan::short(seed) } else { bad_day::Plan::full(seed) };
             let plan = plan.by(match fronts {
@@ -119,6 +144,7 @@
                 Fronts::Names => bad_day::Fronts::Names,
                 Fronts::Both => bad_day::Fronts::Both,
             });
+            let plan = bad_day::Plan { records, ..plan };
             let report = bad_day::play(plan, &program, &folder).await.map_err(|wrong| wrong.to_string())?;
             show.print(&report, report.text())?;
             if report.rules_held() {
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -3,25 +3,26 @@
 use pondarch::types::Time;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+/// Copies tell the same time.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Clock {
+pub struct Clock {
     at_start: u64,
     start: Instant,
 }
 
 impl Clock {
-    pub(crate) fn start() -> Clock {
+    pub fn start() -> Clock {
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Clock { at_start: since.as_micros() as u64, start: Instant::now() }
     }
 
     /// Microseconds since 1970.
-    pub(crate) fn now(&self) -> Time {
+    pub fn now(&self) -> Time {
         Time::from_micros(self.at_start + self.start.elapsed().as_micros() as u64)
     }
 
     /// The steady clock's word for a point in time.
-    pub(crate) fn instant(&self, at: Time) -> Instant {
+    pub fn instant(&self, at: Time) -> Instant {
         let since_start = (at - Time::from_micros(self.at_start)).as_micros();
         self.start + Duration::from_micros(since_start)
     }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -55,10 +55,11 @@
         at_us: wire::micros(now),
         boot: recorder::boot(),
     };
-    let mut recorder = before
-        .folder
-        .zip(site.records.clone())
-        .map(|(folder, records)| Recorder::start(folder, &records, start, clock, inputs.clone()));
+    let held = before.folder;
+    let mut recorder = site.records.clone().map(|records| {
+        let opens = recorder::opens(held, records.folder.clone());
+        Recorder::start(opens, &records, start, clock, inputs.clone())
+    });
     let callers = Callers::new(inputs.clone());
     let mut tasks = JoinSet::new();
     for of in &site.runtime_api {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -19,5 +19,7 @@
 mod probe;
 mod recorder;
 
+pub use clock::Clock;
 pub use daemon::{Options, run};
 pub use error::DaemonError;
+pub use recorder::Recorder;
--- a/crates/daemon/src/recorder.rs
+++ b/crates/daemon/src/recorder.rs
@@ -7,7 +7,7 @@
 use pondarch_history::{Boot, Decision, Record, Snapshot, Start, recover};
 use pondarch_records::disk::LockError;
 use pondarch_records::keeping::State;
-use pondarch_records::{Folder, Keep, Log, frame};
+use pondarch_records::{Disk, Folder, Keep, Log, frame};
 use pondarch_settings::Site;
 use pondarch_settings::site::Records;
 use pondarch_steward::{Input, Output, RecordsState, Remembered, wire::micros};
@@ -30,15 +30,22 @@
 
 /// Where records go, and what was found there.
 pub(crate) struct Before {
-    pub(crate) folder: Option<PathOrFolder>,
+    /// None: it could not be had yet, and is tried again.
+    pub(crate) folder: Option<Folder>,
     pub(crate) epoch: u64,
     pub(crate) known: Option<Remembered>,
 }
 
-/// A folder that is locked, or one that could not be had yet and is tried again.
-pub(crate) enum PathOrFolder {
-    Locked(Folder),
-    Path(PathBuf),
+/// Gives the disk once it can be had; asked again while it cannot.
+type Opens<D> = Box<dyn FnMut() -> Result<D, String> + Send>;
+
+/// The folder that is held already, or one that is tried for.
+pub(crate) fn opens(held: Option<Folder>, path: PathBuf) -> impl FnMut() -> Result<Folder, String> + Send {
+    let mut held = held;
+    move || match held.take() {
+        Some(folder) => Ok(folder),
+        None => Folder::lock(&path).map_err(|wrong| wrong.to_string()),
+    }
 }
 
 /// What was recorded before, by the settings.
@@ -52,7 +59,6 @@
         Err(held @ LockError::Held(_)) => return Err(held.into()),
         Err(wrong) => {
             warn!(%wrong, "records cannot be had");
-            before.folder = Some(PathOrFolder::Path(records.folder.clone()));
             return Ok(before);
         }
     };
@@ -69,7 +75,7 @@
         }
         Err(wrong) => warn!(%wrong, "nothing recovered"),
     }
-    before.folder = Some(PathOrFolder::Locked(folder));
+    before.folder = Some(folder);
     Ok(before)
 }
 
@@ -97,7 +103,8 @@
     Snapshot(Box<Snapshot>),
 }
 
-pub(crate) struct Recorder {
+/// The way of records to the disk. Whoever holds it ends it.
+pub struct Recorder {
     words: SyncSender<Word>,
     waiting: Arc<AtomicUsize>,
     written: watch::Receiver<u64>,
@@ -113,8 +120,9 @@
 }
 
 impl Recorder {
-    pub(crate) fn start(
-        folder: PathOrFolder,
+    /// Starts the thread that writes; it opens the disk itself, and again while it cannot be had.
+    pub fn start<D: Disk + Send + 'static>(
+        opens: impl FnMut() -> Result<D, String> + Send + 'static,
         records: &Records,
         start: Start,
         clock: Clock,
@@ -131,7 +139,7 @@
         };
         let (epoch, at, every) = (start.epoch, Time::from_micros(start.at_us), records.snapshot_every.0);
         let mut writer = Writer {
-            folder: Some(folder),
+            opens: Box::new(opens),
             log: None,
             keep,
             start,
@@ -163,12 +171,12 @@
     }
 
     /// Up to which input records are written, or given up.
-    pub(crate) fn written(&self) -> watch::Receiver<u64> {
+    pub fn written(&self) -> watch::Receiver<u64> {
         self.written.clone()
     }
 
     /// Takes an input; gives its number.
-    pub(crate) fn input(&mut self, at: Time, input: &Input) -> u64 {
+    pub fn input(&mut self, at: Time, input: &Input) -> u64 {
         self.n += 1;
         let n = self.n;
         if let Some((first, last)) = self.gap
@@ -187,18 +195,18 @@
     }
 
     /// What was decided by the last input.
-    pub(crate) fn decided(&mut self, outputs: Vec<Output>) {
+    pub fn decided(&mut self, outputs: Vec<Output>) {
         let n = self.n;
         if !outputs.is_empty() && self.queued && !self.send(Word::Decided { n, outputs }, 0) {
             self.gap = Some((n, n));
         }
     }
 
-    pub(crate) fn wants_snapshot(&self, now: Time) -> bool {
+    pub fn wants_snapshot(&self, now: Time) -> bool {
         now >= self.snapshot_at
     }
 
-    pub(crate) fn snapshot(&mut self, now: Time, known: Remembered) {
+    pub fn snapshot(&mut self, now: Time, known: Remembered) {
         self.snapshot_at = now + self.every;
         let (n, epoch, at_us) = (self.n, self.epoch, micros(now));
         // Without room there is none this time.
@@ -217,7 +225,7 @@
     }
 
     /// Writes what waits and a last snapshot, within a bound.
-    pub(crate) async fn end(mut self, now: Time, known: Remembered) {
+    pub async fn end(mut self, now: Time, known: Remembered) {
         self.snapshot(now, known);
         drop(self.words);
         if tokio::time::timeout(END_WAITS, self.thread).await.is_err() {
@@ -235,9 +243,9 @@
     }
 }
 
-struct Writer {
-    folder: Option<PathOrFolder>,
-    log: Option<Log<Folder>>,
+struct Writer<D> {
+    opens: Opens<D>,
+    log: Option<Log<D>>,
     keep: Keep,
     start: Start,
     /// The start stands in the log.
@@ -254,7 +262,7 @@
     gap: Option<(u64, u64, String)>,
 }
 
-impl Writer {
+impl<D: Disk> Writer<D> {
     fn run(&mut self) {
         loop {
             let now = self.clock.now();
@@ -289,21 +297,11 @@
         if self.log.is_some() {
             return;
         }
-        let folder = match self.folder.take() {
-            Some(PathOrFolder::Locked(folder)) => folder,
-            Some(PathOrFolder::Path(path)) => match Folder::lock(&path) {
-                Ok(folder) => folder,
-                Err(wrong) => {
-                    self.state.stopped = Some(wrong.to_string());
-                    self.folder = Some(PathOrFolder::Path(path));
-                    return;
-                }
-            },
-            None => return,
-        };
-        match Log::new(folder, self.keep, self.start.epoch) {
+        let opened = (self.opens)()
+            .and_then(|disk| Log::new(disk, self.keep, self.start.epoch).map_err(|wrong| wrong.to_string()));
+        match opened {
             Ok(log) => self.log = Some(log),
-            Err(wrong) => self.state.stopped = Some(wrong.to_string()),
+            Err(wrong) => self.state.stopped = Some(wrong),
         }
     }
 
--- a/crates/rehearsal/src/bad_day.rs
+++ b/crates/rehearsal/src/bad_day.rs
@@ -2,7 +2,7 @@
 //! the site has met, one after the other.
 
 mod report;
-mod stage;
+pub(crate) mod stage;
 
 pub use report::{Moment, Report};
 pub(crate) use stage::{ask, kinds};
@@ -62,6 +62,8 @@
     pub proxies: usize,
     pub stewards: usize,
     pub fronts: Fronts,
+    /// Stewards record, and recover from their records.
+    pub records: bool,
     /// Reqs a second, all proxies together.
     pub rate: f64,
     /// Undisturbed spans: before the first trouble, and between two.
@@ -87,6 +89,7 @@
             proxies: 12,
             stewards: 2,
             fronts: Fronts::Runtime,
+            records: false,
             rate: 160.0,
             opening: Duration::from_secs(8),
             calm: Duration::from_secs(5),
--- a/crates/rehearsal/src/bad_day/stage.rs
+++ b/crates/rehearsal/src/bad_day/stage.rs
@@ -43,12 +43,12 @@
     ]
 }
 
-pub(super) struct Stage {
+pub(crate) struct Stage {
     hosts: BTreeMap<String, Host>,
-    pub(super) proxies: Vec<Front>,
+    pub(crate) proxies: Vec<Front>,
     /// Plain proxies that ask by name.
     names: crate::by_name::Fronts,
-    pub(super) list: List,
+    pub(crate) list: List,
     stewards: Vec<Option<Child>>,
     program: PathBuf,
     folder: PathBuf,
@@ -57,7 +57,7 @@
 }
 
 impl Stage {
-    pub(super) async fn set(
+    pub(crate) async fn set(
         plan: &Plan,
         program: &Path,
         folder: &Path,
@@ -123,7 +123,7 @@
         Ok(stage)
     }
 
-    pub(super) fn start_steward(&mut self, s: usize) -> Result<(), RehearsalError> {
+    pub(crate) fn start_steward(&mut self, s: usize) -> Result<(), RehearsalError> {
         let settings = self.folder.join(format!("steward-{s}.jsonnet"));
         let log = self.folder.join(format!("steward-{s}.log"));
         let child =
@@ -133,7 +133,7 @@
     }
 
     /// Killed outright: no word to anybody.
-    pub(super) async fn kill_steward(&mut self, s: usize) {
+    pub(crate) async fn kill_steward(&mut self, s: usize) {
         if let Some(mut child) = self.stewards[s].take() {
             // It may have ended by itself: gone either way.
             child.kill().await.ok();
@@ -141,7 +141,7 @@
     }
 
     /// Waits until each proxy has the mark of a steward that runs now.
-    pub(super) async fn wait_joined(&mut self) -> Result<(), RehearsalError> {
+    pub(crate) async fn wait_joined(&mut self) -> Result<(), RehearsalError> {
         let deadline = Instant::now() + Duration::from_secs(JOIN_LIMIT_S);
         loop {
             for steward in self.stewards.iter_mut().flatten() {
@@ -165,7 +165,7 @@
     }
 
     /// A host's process ends, and another starts cold under its name and address; the list says so at once.
-    pub(super) async fn restart_host(&mut self, name: &str) -> Result<(), RehearsalError> {
+    pub(crate) async fn restart_host(&mut self, name: &str) -> Result<(), RehearsalError> {
         let Some(old) = self.hosts.remove(name) else { return Ok(()) };
         let (make, addr) = (Make { warm: false, ..old.make.clone() }, old.addr);
         drop(old);
@@ -187,7 +187,7 @@
     }
 
     /// How long the script takes at least, with some room for what it waits for.
-    pub(super) fn spans(&self, plan: &Plan) -> Duration {
+    pub(crate) fn spans(&self, plan: &Plan) -> Duration {
         let batch = plan.limits.grace.max(plan.between_batches) + Duration::from_millis(200);
         plan.opening
             + plan.slow
@@ -201,7 +201,7 @@
             + plan.wrong_list
     }
 
-    pub(super) fn clients(&self, plan: &Plan, until: Instant) -> impl Future<Output = ()> + Send + use<> {
+    pub(crate) fn clients(&self, plan: &Plan, until: Instant) -> impl Future<Output = ()> + Send + use<> {
         let ids = Arc::new(AtomicU64::new(1));
         let mut chance = fastrand::Rng::with_seed(plan.seed ^ 0x5eed);
         let by_proxy = self.proxies.iter().map(|proxy| Way::Proxy(client::Client::new(proxy.addr)));
@@ -217,26 +217,26 @@
         async move { while asking.join_next().await.is_some() {} }
     }
 
-    pub(super) fn some_host(&self, chance: &mut fastrand::Rng, zone: &str) -> String {
+    pub(crate) fn some_host(&self, chance: &mut fastrand::Rng, zone: &str) -> String {
         let of: Vec<&String> =
             self.list.hosts.iter().filter(|(_, e)| e.zone == zone).map(|(n, _)| n).collect();
         of.get(chance.usize(0..of.len().max(1))).map(|name| name.to_string()).unwrap_or_default()
     }
 
-    pub(super) fn trouble(&self, host: &str, set: impl FnOnce(&Trouble)) {
+    pub(crate) fn trouble(&self, host: &str, set: impl FnOnce(&Trouble)) {
         if let Some(host) = self.hosts.get(host) {
             set(&host.trouble);
         }
     }
 
     /// Hosts of the first day that are still listed, but for these.
-    pub(super) fn replaceable(&self, count: usize, not: &[&String]) -> Vec<String> {
+    pub(crate) fn replaceable(&self, count: usize, not: &[&String]) -> Vec<String> {
         let old = |name: &&String| !name.ends_with("-new") && !not.contains(name);
         self.list.hosts.keys().filter(old).take(count).cloned().collect()
     }
 
     /// Cold successors start and are listed, and the old ones drain, in one word of the list.
-    pub(super) async fn successors(&mut self, old: &[String]) -> Result<(), RehearsalError> {
+    pub(crate) async fn successors(&mut self, old: &[String]) -> Result<(), RehearsalError> {
         let mut new = Vec::new();
         for name in old {
             let Some(host) = self.hosts.get(name) else { continue };
@@ -257,12 +257,12 @@
             .map_err(failed("the list cannot be written"))
     }
 
-    pub(super) fn kill_host(&mut self, name: &str) {
+    pub(crate) fn kill_host(&mut self, name: &str) {
         self.hosts.remove(name);
     }
 
     /// Changes every other host at a steward, so that each of its tables has something to send.
-    pub(super) async fn operator(&self, steward: usize, change: &str) -> Result<(), RehearsalError> {
+    pub(crate) async fn operator(&self, steward: usize, change: &str) -> Result<(), RehearsalError> {
         let socket = self.folder.join(format!("steward-{steward}.sock"));
         for host in self.list.hosts.keys().step_by(2) {
             ask(&socket, &format!("set server hosts/{host} {change}")).await;
@@ -270,7 +270,7 @@
         Ok(())
     }
 
-    pub(super) async fn end(&mut self) {
+    pub(crate) async fn end(&mut self) {
         self.watch.abort();
         for s in 0..self.stewards.len() {
             self.kill_steward(s).await;
@@ -355,6 +355,9 @@
         "crossing_price": 0.06,
         "runtime_api": [{"listen": format!("unix:steward-{steward}.sock"), "level": "admin"}],
     });
+    if plan.records {
+        settings["records"] = json!({"folder": format!("records-{steward}"), "snapshot_every": "1 s"});
+    }
     if plan.fronts != Fronts::Runtime {
         settings["dns"] = json!({"zone": DNS_ZONE, "listen": dns, "grace": ms(plan.limits.grace),
             "answers_per_second": 2000});
