--- a/examples/small-site.jsonnet
+++ b/examples/small-site.jsonnet
@@ -10,6 +10,7 @@
   channel: { lines_per_second: 2000, most_waiting: 2000, message_cap: 20, message_window: '10 s' },
   cold: { start_share: 0.2, warm_within: '20 s' },
   probes: { path: '/health', time_limit: '400 ms', load_every: '2 s' },
+  records: { folder: '/var/lib/pondarch/steward-1' },
   runtime_api: [
     { listen: 'unix:/run/pondarch/admin.sock', level: 'admin' },
     { listen: '127.0.0.1:9950', level: 'user' },
