Reports pushed by credit: order, clocks, age, choice within a budget, memory by purpose

Sums came by reading show stat alone, and nothing said how old a figure was. Change: a stream of MessagePack messages with credit; rules without I/O for late, doubled, missing and restarted reports, for a sender's clock between two bounds, for what age leaves of evidence, for which hosts are told within a budget, and for who is excused when reporters fall silent; figures that cannot be are refused whole. Pushed counters are those of show stat: each counts once, whichever way it comes. The own proxy pushes (report_to). show memory. Found: a pushed report older than the last read look counted as one of a proxy that began anew.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -5,9 +5,12 @@
 use crate::dial::Connection;
 use crate::error::DaemonError;
 use crate::probe::Prober;
+use crate::push::{self, Pushers};
 use crate::recorder::{self, Recorder};
 use crate::{dns, hosts_file, log};
+use pondarch::types::Span;
 use pondarch_history::Start;
+use pondarch_load_push::ToSender;
 use pondarch_settings::Site;
 use pondarch_sockets::{Listener, serve};
 use pondarch_steward::{Core, Input, Output, wire};
@@ -25,6 +28,11 @@
 /// Inputs that wait for the core. When they are this many, whoever brings the next one waits: proxies are read
 /// from and operators answered later, and nothing is lost.
 const INPUTS_MOST: usize = 4096;
+/// How often the edge's memory is counted, and the part by which it must have changed to be told.
+const COUNTED_EVERY: Span = Span::from_millis(1_000);
+const COUNTED_PART: f64 = 0.125;
+/// What a connection takes, with its task and buffers, in bytes, roughly.
+const CONNECTION_BYTES: u64 = 8 * 1024;
 /// How long the answer to an operator waits for what it answers to be written.
 const REPLY_WAITS: Duration = Duration::from_millis(250);
 
@@ -67,6 +75,7 @@
         let listener = Listener::bind(&of.listen).await.map_err(listen)?;
         tasks.spawn(serve(listener, of.level.into(), callers.clone()));
     }
+    let pushes = push::open(&site, inputs.clone(), &mut tasks).await?;
     let names = dns::open(&site, seed, clock, inputs.clone(), &mut tasks).await?;
     tasks.spawn(hosts_file::follow(site.hosts_file.clone(), site.zones.clone(), inputs.clone()));
     let mut term = signal(SignalKind::terminate()).map_err(DaemonError::Signals)?;
@@ -83,9 +92,11 @@
         inputs,
         site,
         replies: JoinSet::new(),
+        pushes,
         awaits: None,
         written: recorder.as_ref().map(Recorder::written),
     };
+    let (mut counted, mut counted_at) = ((0, 0, 0), now);
     let mut core = Core::new(&edge.site, seed, process, epoch, now);
     let mut next = Some(before.known.map_or(Input::Tick, |known| Input::Recovered(Box::new(known))));
     loop {
@@ -118,6 +129,10 @@
                 _ => edge.carry_out(output),
             }
         }
+        if now >= counted_at {
+            counted_at = now + COUNTED_EVERY;
+            next = edge.memory(&mut counted, recorder.as_ref());
+        }
         if let Some(recorder) = &mut recorder {
             recorder.decided(decisions);
             if recorder.wants_snapshot(now) {
@@ -125,7 +140,9 @@
             }
         }
         // What came meanwhile is taken before the clock, or a busy steward would hear nothing but ticks.
-        next = queue.try_recv().ok();
+        if next.is_none() {
+            next = queue.try_recv().ok();
+        }
     }
     info!("steward stops; proxies keep their tables");
     tasks.shutdown().await;
@@ -147,6 +164,7 @@
     inputs: mpsc::Sender<Input>,
     site: Site,
     replies: JoinSet<()>,
+    pushes: Option<Pushers>,
     /// Up to which input the records are written; none: nothing is recorded.
     written: Option<watch::Receiver<u64>>,
     /// The input that an answer to an operator waits for.
@@ -154,6 +172,21 @@
 }
 
 impl Edge {
+    /// What the edge takes, if that has changed enough to be told.
+    fn memory(&self, told: &mut (u64, u64, u64), recorder: Option<&Recorder>) -> Option<Input> {
+        let waiting = self.connections.values().map(|(_, connection)| connection.waiting()).sum();
+        let records = recorder.map_or(0, Recorder::waiting);
+        let (senders, capped) = self.pushes.as_ref().map_or((0, 0), Pushers::counts);
+        let connections = (self.connections.len() as u64 + senders) * CONNECTION_BYTES;
+        let now = (waiting, records, connections);
+        let off = |now: u64, then: u64| now.abs_diff(then) as f64 > then as f64 * COUNTED_PART + 4_096.0;
+        if capped == 0 && !off(now.0, told.0) && !off(now.1, told.1) && !off(now.2, told.2) {
+            return None;
+        }
+        *told = now;
+        Some(Input::Memory { waiting, records, connections, capped })
+    }
+
     fn carry_out(&mut self, output: Output) {
         match output {
             Output::Dial { proxy, conn } => {
@@ -195,6 +228,18 @@
                     inputs.blocking_send(Input::Solved { number, plan: answer.map(|(plan, _)| plan) }).ok();
                 });
             }
+            Output::Credit { conn, more, at_us } => {
+                if let Some(pushes) = &self.pushes {
+                    pushes.say(conn, ToSender::Credit { more, at_us });
+                }
+            }
+            Output::RefuseSender { conn, why } => {
+                if let Some(pushes) = &self.pushes {
+                    pushes.say(conn, ToSender::Refused { why });
+                }
+            }
+            // For the records.
+            Output::Looked { .. } => {}
             // Only with a DNS front, which the loop tells.
             Output::ViewChanged { .. } | Output::SayChanged { .. } => {}
             Output::Reply { caller, text } => match (self.awaits, self.written.clone()) {
--- a/crates/daemon/src/dial.rs
+++ b/crates/daemon/src/dial.rs
@@ -6,6 +6,8 @@
 use pondarch_settings::Endpoint;
 use pondarch_sockets::Stream;
 use pondarch_steward::Input;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
@@ -19,6 +21,8 @@
 /// One connection, or the try at one. Dropping it closes the connection.
 pub(crate) struct Connection {
     lines: mpsc::Sender<Vec<String>>,
+    /// Bytes that are handed over and not written.
+    waiting: Arc<AtomicU64>,
     task: JoinHandle<()>,
 }
 
@@ -31,17 +35,28 @@
         inputs: mpsc::Sender<Input>,
     ) -> Connection {
         let (lines, queue) = mpsc::channel(GROUPS_MOST);
+        let waiting: Arc<AtomicU64> = Arc::default();
+        let written = waiting.clone();
         let task = tokio::spawn(async move {
-            let why = talk(proxy, conn, &to, limit, queue, &inputs).await;
+            let why = talk((proxy, conn), &to, limit, queue, &written, &inputs).await;
             // If the daemon is gone, nobody needs to know.
             inputs.send(Input::Lost { proxy, conn, why }).await.ok();
         });
-        Connection { lines, task }
+        Connection { lines, waiting, task }
     }
 
     /// Hands lines over without waiting. Gives whether there was room.
     pub(crate) fn write(&self, lines: Vec<String>) -> bool {
-        self.lines.try_send(lines).is_ok()
+        let bytes = bytes(&lines);
+        let taken = self.lines.try_send(lines).is_ok();
+        if taken {
+            self.waiting.fetch_add(bytes, Relaxed);
+        }
+        taken
+    }
+
+    pub(crate) fn waiting(&self) -> u64 {
+        self.waiting.load(Relaxed)
     }
 }
 
@@ -51,13 +66,17 @@
     }
 }
 
+fn bytes(lines: &[String]) -> u64 {
+    lines.iter().map(|line| line.len() as u64 + 1).sum()
+}
+
 /// Runs one connection to its end; gives why it ended.
 async fn talk(
-    proxy: u16,
-    conn: u64,
+    (proxy, conn): (u16, u64),
     to: &Endpoint,
     limit: Duration,
     mut queue: mpsc::Receiver<Vec<String>>,
+    written: &AtomicU64,
     inputs: &mpsc::Sender<Input>,
 ) -> String {
     let stream = match timeout(limit, Stream::connect(to)).await {
@@ -71,6 +90,7 @@
     let (mut to_proxy, mut from_proxy) = Framed::new(stream, ClientCodec::default()).split();
     let writing = async {
         while let Some(lines) = queue.recv().await {
+            let bytes = bytes(&lines);
             for line in lines {
                 if let Err(wrong) = to_proxy.feed(line).await {
                     return format!("writing failed: {wrong}");
@@ -79,6 +99,7 @@
             if let Err(wrong) = to_proxy.flush().await {
                 return format!("writing failed: {wrong}");
             }
+            written.fetch_sub(bytes, Relaxed);
         }
         "the steward stops".to_string()
     };
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 //! - `desk`: operators at the steward's sockets, and the answers they wait for.
 //! - `hosts_file`: follows the list of hosts.
 //! - `probe`: asks hosts over HTTP.
+//! - `push`: proxies and hosts that push reports.
 //! - `recorder`: records on the way to the disk, and what was found there.
 //! - `clock`, `log`: time that never goes back; events as structured logs.
 
@@ -17,6 +18,7 @@
 mod hosts_file;
 mod log;
 mod probe;
+mod push;
 mod recorder;
 
 pub use clock::Clock;
--- a/crates/daemon/src/log.rs
+++ b/crates/daemon/src/log.rs
@@ -30,6 +30,7 @@
         }
         Event::Records { stopped: None, lost } => info!(lost, "records are written"),
         Event::Records { stopped: Some(why), lost } => warn!(why, lost, "records are not written"),
+        Event::ReportRefused { wrong, refused } => warn!(wrong, refused, "report refused"),
         Event::KeptOut { host, for_s } => info!(host, for_s, "started anew, kept out while caches hold it"),
         Event::SecondaryLate { secondary } => warn!(secondary, "secondary is behind for too long"),
         Event::HeldBack { table, host } => info!(table, host, "cold host held back"),
--- a/crates/daemon/src/recorder.rs
+++ b/crates/daemon/src/recorder.rs
@@ -175,6 +175,11 @@
         self.written.clone()
     }
 
+    /// Bytes that wait for the disk, roughly.
+    pub fn waiting(&self) -> u64 {
+        self.waiting.load(Relaxed) as u64
+    }
+
     /// Takes an input; gives its number.
     pub fn input(&mut self, at: Time, input: &Input) -> u64 {
         self.n += 1;
@@ -239,6 +244,7 @@
     match input {
         Input::Answer { text, .. } => text.len() + 100,
         Input::List { hosts, .. } => hosts.len() * 200 + 100,
+        Input::Pushed { report, .. } => report.body.counted.len() * 120 + 200,
         _ => 200,
     }
 }
--- a/crates/history/src/play.rs
+++ b/crates/history/src/play.rs
@@ -233,7 +233,10 @@
             Output::Probe { .. }
             | Output::ViewChanged { .. }
             | Output::SayChanged { .. }
-            | Output::Reply { .. } => {}
+            | Output::Reply { .. }
+            | Output::Credit { .. }
+            | Output::RefuseSender { .. }
+            | Output::Looked { .. } => {}
         }
     }
 
--- a/crates/history/src/scene.rs
+++ b/crates/history/src/scene.rs
@@ -123,6 +123,7 @@
         }
         Input::Answer { proxy, text, .. } => traffic(proxy, &text, counters.entry(proxy).or_default()),
         Input::Probed { host, for_load, good, load } => Some(What::Probed { host, for_load, good, load }),
+        Input::Pushed { .. } => None,
         Input::AskedByName { proxy, .. } => Some(What::Asked { proxy }),
         Input::Command { level, line, .. } => {
             (!line.starts_with("show")).then_some(What::Operator { level, line })
@@ -131,6 +132,9 @@
         | Input::ListRefused { .. }
         | Input::Records(_)
         | Input::Secondary { .. }
+        | Input::SenderCame { .. }
+        | Input::SenderLeft { .. }
+        | Input::Memory { .. }
         | Input::Solved { .. } => None,
     }
 }
--- a/crates/proxy-front/src/session.rs
+++ b/crates/proxy-front/src/session.rs
@@ -7,7 +7,7 @@
 use pondarch_runtime_api::Command;
 use pondarch_runtime_api::command::PromptMode;
 use pondarch_runtime_api::info::{Info, read_map};
-use pondarch_runtime_api::stat::{self, StatError};
+use pondarch_runtime_api::stat::{self, StatError, StatRow};
 use pondarch_runtime_api::state::{self, StateError};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
@@ -101,6 +101,11 @@
         self.learned.then(|| self.held.lines.iter().any(holds))
     }
 
+    /// What it takes, in bytes, roughly: what the proxy holds, and its counters.
+    pub fn bytes(&self) -> u64 {
+        self.held.lines.len() as u64 * 250 + self.asked.len() as u64 * 120
+    }
+
     /// Whether all that was asked is answered.
     pub fn is_quiet(&self) -> bool {
         self.asked.is_empty()
@@ -137,6 +142,14 @@
         })
     }
 
+    /// Counters that the proxy told by another way, as of then. They are the same counters: none counts twice. None while
+    /// the proxy's process is not known, or if it told them before the last ones.
+    pub fn counted(&mut self, at: Time, rows: &[StatRow]) -> Option<Look> {
+        // Counters of before the last look are lower: they would count as those of a process that began anew.
+        let newer = self.counters.last().is_none_or(|last| at > last);
+        (self.learned && newer).then(|| self.counters.look(at, &self.front, rows))
+    }
+
     /// What would have to be written now; nothing while answers are awaited.
     pub fn due(&mut self, now: Time, wanted: &Wanted, must_go: impl Fn(&HostId) -> bool) -> Option<Batch> {
         if !self.learned || !self.is_quiet() {
--- a/crates/proxy-front/src/sums.rs
+++ b/crates/proxy-front/src/sums.rs
@@ -37,6 +37,11 @@
         }
     }
 
+    /// When they were last looked at.
+    pub fn last(&self) -> Option<Time> {
+        self.at
+    }
+
     pub fn look(&mut self, now: Time, front: &Front, rows: &[StatRow]) -> Look {
         let kind_of: BTreeMap<&str, KindId> = front
             .kinds
--- a/crates/proxy-rules/src/holding.rs
+++ b/crates/proxy-rules/src/holding.rs
@@ -138,7 +138,7 @@
             }
             Command::ShowServersState(backend) => state::write_state(&self.servers(backend.as_deref())),
             Command::ShowServersConn(backend) => state::write_conn(&self.servers(backend.as_deref())),
-            Command::ShowErrors | Command::ShowEvents => String::new(),
+            Command::ShowErrors | Command::ShowEvents | Command::ShowMemory => String::new(),
             Command::ShowMaps => self.maps.keys().map(|map| format!("0 ({map}) map\n")).collect(),
             Command::ShowMap { map, version: None } => self.on_map(&map, |m| write_map(m.iter())),
             Command::ShowMap { map, version: Some(version) } => match self.prepared.get(&(map, version)) {
@@ -290,7 +290,8 @@
         of.flat_map(|(backend, b)| b.servers.iter().map(move |s| state(backend, s))).collect()
     }
 
-    fn rows(&self) -> Vec<StatRow> {
+    /// All counters, as `show stat` has them.
+    pub fn rows(&self) -> Vec<StatRow> {
         let mut rows = Vec::new();
         for (name, backend) in &self.backends {
             for (server, s) in &backend.servers {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -14,6 +14,7 @@
 mod desk;
 mod guard;
 mod out;
+mod push;
 mod run;
 mod shared;
 
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -3,6 +3,7 @@
 use crate::carry::Carrier;
 use crate::desk::ProxyDesk;
 use crate::guard::{Guarded, Heads};
+use crate::push;
 use crate::shared::Shared;
 use hyper::service::service_fn;
 use hyper_util::client::legacy::Client;
@@ -63,6 +64,10 @@
         let listener = Listener::bind(&of.listen).await.map_err(listen)?;
         runtime.spawn(serve(listener, of.level.into(), desk.clone()));
     }
+    for to in &site.report_to {
+        let (name, every) = (site.name.clone(), site.report_every.std());
+        runtime.spawn(push::push(to.clone(), name, every, shared.clone()));
+    }
     let mut http = HttpConnector::new();
     http.set_connect_timeout(Some(site.limits.connect.std()));
     http.set_nodelay(true);
--- a/crates/rehearsal/src/front.rs
+++ b/crates/rehearsal/src/front.rs
@@ -146,6 +146,8 @@
         avoid: Avoid { least: Length::millis(3_000), most: Length::millis(3_000), ..Avoid::default() },
         further_tries: 0.2,
         limits: Limits { last_ready_for: Length::millis(1_500), ..Limits::default() },
+        report_to: Vec::new(),
+        report_every: Length::millis(1_000),
         seed: Some(seed),
     }
 }
--- a/crates/runtime-api/src/command.rs
+++ b/crates/runtime-api/src/command.rs
@@ -50,27 +50,63 @@
     Help,
     Quit,
     Prompt(PromptMode),
-    ShowInfo { json: bool },
-    ShowStat { json: bool },
+    ShowInfo {
+        json: bool,
+    },
+    ShowStat {
+        json: bool,
+    },
     ShowBackend,
     ShowServersState(Option<String>),
     ShowServersConn(Option<String>),
     ShowErrors,
     ShowEvents,
+    /// Ours: memory by purpose.
+    ShowMemory,
     ShowMaps,
-    ShowMap { map: String, version: Option<u64> },
-    GetMap { map: String, key: String },
-    AddMap { map: String, version: Option<u64>, key: String, value: String },
-    SetMap { map: String, key: String, value: String },
-    DelMap { map: String, key: String },
-    ClearMap { map: String, version: Option<u64> },
-    PrepareMap { map: String },
-    CommitMap { map: String, version: u64 },
+    ShowMap {
+        map: String,
+        version: Option<u64>,
+    },
+    GetMap {
+        map: String,
+        key: String,
+    },
+    AddMap {
+        map: String,
+        version: Option<u64>,
+        key: String,
+        value: String,
+    },
+    SetMap {
+        map: String,
+        key: String,
+        value: String,
+    },
+    DelMap {
+        map: String,
+        key: String,
+    },
+    ClearMap {
+        map: String,
+        version: Option<u64>,
+    },
+    PrepareMap {
+        map: String,
+    },
+    CommitMap {
+        map: String,
+        version: u64,
+    },
     GetWeight(ServerRef),
     SetWeight(ServerRef, GivenWeight),
     SetState(ServerRef, AdminState),
     SetAddr(ServerRef, IpAddr, Option<u16>),
-    AddServer { server: ServerRef, addr: SocketAddr, weight: Option<u16> },
+    AddServer {
+        server: ServerRef,
+        addr: SocketAddr,
+        weight: Option<u16>,
+    },
     DelServer(ServerRef),
 }
 
@@ -118,6 +154,7 @@
   show events                             : the last events
   show info [json]                        : general state
   show map [[@<ver>] <map>]               : list maps, or a map's entries
+  show memory                             : memory by purpose
   show servers conn [<bk>]                : connections by server
   show servers state [<bk>]               : state by server
   show stat [json]                        : counters by server and backend
@@ -156,6 +193,7 @@
             ("show", "stat") => Command::ShowStat { json: args.flag("show stat", "json") },
             ("show", "backend") => args.only("show backend", Command::ShowBackend),
             ("show", "errors") => args.only("show errors", Command::ShowErrors),
+            ("show", "memory") => args.only("show memory", Command::ShowMemory),
             ("show", "events") => args.only("show events", Command::ShowEvents),
             ("show", "servers") => {
                 args.name = "show servers";
@@ -278,6 +316,7 @@
             Command::ShowInfo { .. } | Command::ShowStat { .. } | Command::ShowBackend => Level::User,
             Command::ShowServersState(_) | Command::ShowServersConn(_) => Level::Operator,
             Command::ShowErrors | Command::ShowEvents | Command::ShowMaps => Level::Operator,
+            Command::ShowMemory => Level::Operator,
             Command::ShowMap { .. } | Command::GetMap { .. } | Command::GetWeight(_) => Level::Operator,
             _ => Level::Admin,
         }
@@ -302,6 +341,7 @@
             Command::ShowBackend => f.write_str("show backend"),
             Command::ShowErrors => f.write_str("show errors"),
             Command::ShowEvents => f.write_str("show events"),
+            Command::ShowMemory => f.write_str("show memory"),
             Command::ShowServersState(None) => f.write_str("show servers state"),
             Command::ShowServersState(Some(backend)) => write!(f, "show servers state {}", g(backend)),
             Command::ShowServersConn(None) => f.write_str("show servers conn"),
--- a/crates/settings/src/proxy.rs
+++ b/crates/settings/src/proxy.rs
@@ -34,6 +34,11 @@
     pub further_tries: f64,
     #[serde(default)]
     pub limits: Limits,
+    /// Stewards that take pushed reports, and how often they get one.
+    #[serde(default)]
+    pub report_to: Vec<Endpoint>,
+    #[serde(default = "second")]
+    pub report_every: Length,
     /// For the standing table and all draws; absent: from the clock.
     #[serde(default)]
     pub seed: Option<u64>,
@@ -131,6 +136,10 @@
     }
 }
 
+fn second() -> Length {
+    Length::millis(1_000)
+}
+
 fn eight() -> usize {
     8
 }
@@ -146,6 +155,7 @@
             return wrong("name", text);
         }
         names("zones", self.zones.iter().map(String::as_str))?;
+        span_within("report_every", self.report_every, 50, 60_000)?;
         names("kinds", self.kinds.iter().map(|kind| kind.name.as_str()))?;
         if !self.zones.contains(&self.zone) {
             return wrong("zone", format!("'{}' is none of the site's zones", self.zone));
@@ -199,5 +209,6 @@
     for listener in &mut site.runtime_api {
         listener.listen = Endpoint::seen_from(listener.listen.clone(), &folder);
     }
+    site.report_to = site.report_to.into_iter().map(|to| to.seen_from(&folder)).collect();
     Ok(site)
 }
--- a/crates/settings/src/site.rs
+++ b/crates/settings/src/site.rs
@@ -115,8 +115,12 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Reports {
-    /// How often `show stat` is read from each proxy.
+    /// How often `show stat` is read from each proxy that does not push.
     pub every: Length,
+    /// Where proxies and hosts may push reports; absent: nowhere.
+    pub push: Option<Endpoint>,
+    /// Lines of hosts that decisions take in a second; absent: all.
+    pub lines_per_second: Option<f64>,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -300,7 +304,7 @@
 
 impl Default for Reports {
     fn default() -> Reports {
-        Reports { every: Length::millis(1_000) }
+        Reports { every: Length::millis(1_000), push: None, lines_per_second: None }
     }
 }
 
@@ -442,6 +446,9 @@
             return wrong("channel.message_window", "is zero".into());
         }
         span_within("reports.every", self.reports.every, 50, 60_000)?;
+        if let Some(lines) = self.reports.lines_per_second {
+            within("reports.lines_per_second", lines, 1.0, 1e6)?;
+        }
         within("cold.start_share", self.cold.start_share, 0.01, 1.0)?;
         within("crossing_price", self.crossing_price, 0.0, 1.0)?;
         if let Some(dns) = &self.dns {
@@ -533,6 +540,7 @@
     for proxy in &mut site.proxies {
         proxy.runtime = proxy.runtime.take().map(|runtime| runtime.seen_from(&folder));
     }
+    site.reports.push = site.reports.push.take().map(|push| push.seen_from(&folder));
     for secondary in site.dns.iter_mut().flat_map(|dns| &mut dns.secondaries) {
         secondary.secret_file = folder.join(&secondary.secret_file);
     }
--- a/crates/steward/src/books.rs
+++ b/crates/steward/src/books.rs
@@ -101,6 +101,11 @@
         held.iter().filter(|host| !before.contains(host)).cloned().collect()
     }
 
+    /// What all tables take, in bytes, roughly: as dealt, and as proxies are to hold them.
+    pub(crate) fn bytes(&self) -> u64 {
+        self.books.values().map(|book| 200 + book.dealt.len() as u64 * 200).sum()
+    }
+
     pub(crate) fn levels(
         &self,
         table: TableId,
--- a/crates/steward/src/course.rs
+++ b/crates/steward/src/course.rs
@@ -6,12 +6,14 @@
 use crate::list::HostList;
 use crate::names::{self, Names};
 use crate::peer::{Link, Peer};
-use crate::round::Rounds;
+use crate::pushes::Pushes;
+use crate::round::{Gathered, Rounds};
 use crate::weigher::Weigher;
 use crate::wire::{Event, Input, LoadTold, Output, RecordsState};
 use crate::zones::Zones;
 use pondarch::Steward;
-use pondarch::types::{Admission, HostId, Listing, Load, Met, Span, Time};
+use pondarch::types::{Admission, HostId, Listing, Met, Span, Time};
+use pondarch_intake::{Account, Candidate, Choice, Purpose, age};
 use pondarch_proxy_front::{Front, FrontKind, Told};
 use pondarch_settings::Site;
 use pondarch_settings::site::{Links, Weights};
@@ -51,6 +53,13 @@
     pub(crate) loads: BTreeMap<HostId, (Time, LoadTold)>,
     pub(crate) met: BTreeMap<HostId, Met>,
     pub(crate) load_at: Option<Time>,
+    /// When a host's line went to the module last.
+    pub(crate) told_at: BTreeMap<HostId, Time>,
+    /// Lines of hosts that the module is told in a second; none: all.
+    pub(crate) lines_per_second: Option<f64>,
+    pub(crate) choice: Choice,
+    pub(crate) pushes: Pushes,
+    pub(crate) account: Account,
     /// None: nothing is recorded.
     pub(crate) records: Option<RecordsState>,
     pub(crate) inputs: u64,
@@ -106,6 +115,11 @@
             loads: BTreeMap::new(),
             met: BTreeMap::new(),
             load_at: load_every.map(|every| now + every),
+            told_at: BTreeMap::new(),
+            lines_per_second: site.reports.lines_per_second,
+            choice: Choice::new(seed),
+            pushes: Pushes::new(site.reports.push.is_some()),
+            account: Account::default(),
             records: None,
             inputs: 0,
             cause: String::new(),
@@ -182,6 +196,15 @@
             Input::Probed { host, for_load, good, load } => self.probed(&host, for_load, good, load),
             Input::AskedByName { proxy, table, serial } => self.asked_by_name(proxy, table, serial),
             Input::Secondary { n, heard } => self.secondary_heard(n, heard),
+            Input::SenderCame { conn, name, is, run } => self.sender_came(conn, name, is, run),
+            Input::Pushed { conn, report } => self.pushed(conn, *report),
+            Input::SenderLeft { conn } => self.sender_left(conn),
+            Input::Memory { waiting, records, connections, capped } => {
+                self.account.takes(Purpose::Waiting, waiting);
+                self.account.takes(Purpose::Records, records);
+                self.account.takes(Purpose::Connections, connections);
+                self.account.capped(Purpose::Connections, capped);
+            }
             Input::Solved { number, plan } => self.solved(number, plan),
             Input::Command { caller, level, line } => {
                 let text = answer(self, level, &line);
@@ -206,6 +229,9 @@
             Input::Probed { host, .. } => format!("probe of {host}"),
             Input::AskedByName { proxy: n, .. } => format!("{} asked", n.map_or("somebody", proxy)),
             Input::Secondary { n, .. } => format!("secondary {n}"),
+            Input::SenderCame { name, .. } => format!("{name} pushes"),
+            Input::Pushed { .. } | Input::SenderLeft { .. } => "a report".into(),
+            Input::Memory { .. } => "memory".into(),
             Input::Solved { number, .. } => format!("plan {number}"),
             Input::Command { line, .. } => format!("operator: {}", line.chars().take(80).collect::<String>()),
         }
@@ -229,6 +255,7 @@
         }
         self.loads.retain(|host, _| self.list.known.contains_key(host));
         self.met.retain(|host, _| self.list.known.contains_key(host));
+        self.told_at.retain(|host, _| self.list.known.contains_key(host));
     }
 
     fn list_refused(&mut self, wrong: String) {
@@ -277,16 +304,7 @@
             Some(Told::Applied { took, refused }) => self.applied(proxy, took, refused),
             Some(Told::Sums(look)) => {
                 let id = self.peers[proxy as usize].id;
-                for &(kind, many) in &look.reqs {
-                    self.steward.reqs_came(now, id, kind, many, look.over);
-                    self.reqs_asked(proxy, kind, many, look.over);
-                }
-                if let Some(weigher) = &mut self.weigher {
-                    weigher.looked(&look);
-                }
-                self.rounds.came(proxy, &look);
-                let told = |(host, load): (HostId, Load)| (host, (now, LoadTold::of(&load)));
-                self.loads.extend(look.loads.into_iter().map(told));
+                self.looked(id, look, now);
             }
         }
     }
@@ -321,6 +339,7 @@
         peer.lost(self.now, &self.links, &mut self.chance);
         let (id, name, again) = (peer.id, peer.name.clone(), peer.failures > 1);
         self.rounds.lost(proxy);
+        self.pushes.silence.left(id);
         if joined {
             if let Some(weigher) = &mut self.weigher {
                 weigher.estimates().left(id);
@@ -352,7 +371,9 @@
             self.steward.woke(now);
         }
         if self.rounds.due(now) {
-            for peer in self.peers.iter_mut().filter(|peer| peer.is_joined()) {
+            let speak: Vec<bool> = self.peers.iter().map(|peer| self.speaks(peer.id)).collect();
+            let asked = |(peer, speaks): &(&mut Peer, bool)| peer.is_joined() && !speaks;
+            for (peer, _) in self.peers.iter_mut().zip(speak).filter(asked) {
                 let Some(line) = peer.session.read_stat() else { continue };
                 peer.silent_since = Some(now);
                 self.rounds.asked(peer.id.0);
@@ -360,17 +381,8 @@
                 self.out.push_back(Output::Write { proxy, conn, lines: vec![line] });
             }
         }
-        if let Some(mut gathered) = self.rounds.closed(now) {
-            let fresh = self.load_every.unwrap_or(Span::ZERO).max(self.report_every).times(LOAD_PERIODS);
-            gathered.extend(self.told_of_themselves());
-            for (host, met) in gathered {
-                let load = self.loads.get(&host).filter(|(at, _)| now - *at <= fresh);
-                let load = load.map(|(_, told)| told.load());
-                let met = Met { load, ..met };
-                self.steward.met(now, &host, met);
-                self.met.insert(host, met);
-            }
-            self.round_closed(fresh);
+        if let Some(gathered) = self.rounds.closed(now) {
+            self.tell_round(gathered);
         }
         if let Some(every) = self.load_every
             && self.load_at.is_some_and(|at| at <= now)
@@ -402,6 +414,70 @@
         }
     }
 
+    /// A round is over: its lines go to the module, within the budget, each with how old it is.
+    fn tell_round(&mut self, gathered: BTreeMap<HostId, Gathered>) {
+        let (now, every) = (self.now, self.report_every);
+        let stale = gathered.iter().filter(|(_, of)| now - of.at >= age::STALE).count();
+        let mut gathered: Vec<(HostId, Gathered)> =
+            gathered.into_iter().filter(|(_, of)| now - of.at < age::STALE).collect();
+        let budget =
+            self.lines_per_second.map_or(usize::MAX, |lines| (lines * every.secs()).max(1.0) as usize);
+        let mut kept = 0;
+        if gathered.len() > budget {
+            let candidates: Vec<Candidate> =
+                gathered.iter().map(|(host, of)| self.candidate(host, of)).collect();
+            let chosen = self.choice.among(now, every, &candidates, budget);
+            let mut n = 0;
+            let told = |_: &mut (HostId, Gathered)| {
+                n += 1;
+                chosen.binary_search(&(n - 1)).is_err()
+            };
+            let rest: Vec<_> = gathered.extract_if(.., told).collect();
+            kept = rest.len();
+            let fades = age::faded(every);
+            for (host, of) in rest {
+                let met = Met { tries: of.met.tries * fades, errored: of.met.errored * fades, ..of.met };
+                let met = Met { over: met.over + every, ..met };
+                self.rounds.keep(host, Gathered { met, ..of });
+            }
+        }
+        let oldest = gathered.iter().map(|(_, of)| now - of.at).max().unwrap_or(Span::ZERO);
+        let mut lines: BTreeMap<HostId, Met> =
+            gathered.into_iter().map(|(host, of)| (host, of.met)).collect();
+        for (host, met) in self.told_of_themselves().into_iter().chain(self.excused()) {
+            lines.entry(host).or_insert(met);
+        }
+        if !lines.is_empty() || kept > 0 {
+            let (hosts, oldest_us) = (lines.len(), oldest.as_micros());
+            self.out.push_back(Output::Looked { hosts, kept, oldest_us, dropped: stale });
+        }
+        let fresh = self.load_every.unwrap_or(Span::ZERO).max(every).times(LOAD_PERIODS);
+        for (host, met) in lines {
+            let load = self.loads.get(&host).filter(|(at, _)| now - *at <= fresh);
+            let load = load.map(|(_, told)| told.load());
+            let met = Met { load, ..met };
+            self.steward.met(now, &host, met);
+            self.told_at.insert(host.clone(), now);
+            self.met.insert(host, met);
+        }
+        self.round_closed(fresh);
+        self.tell_odd();
+        let reports = self.rounds.bytes() + self.pushes.bytes() + self.loads.len() as u64 * 150;
+        self.account.takes(Purpose::Reports, reports);
+        let tables = self.books.bytes() + self.peers.iter().map(|peer| peer.session.bytes()).sum::<u64>();
+        self.account.takes(Purpose::Tables, tables);
+    }
+
+    fn candidate(&self, host: &HostId, of: &Gathered) -> Candidate {
+        Candidate {
+            host: host.clone(),
+            told: self.told_at.get(host).copied().unwrap_or_default(),
+            tries: of.met.tries,
+            errored: of.met.errored,
+            changing: self.list.is_cold(host, self.now) || self.list.must_go(host),
+        }
+    }
+
     pub(crate) fn tell(&mut self, event: Event) {
         if self.events.len() == KEPT_MOST {
             self.events.pop_front();
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -10,6 +10,7 @@
 //! - `channel`: how much may be sent, and when.
 //! - `peer`: one proxy: dialled, looked at, joined, lost.
 //! - `weigher`: weights as a solver sets them, between the list and the module.
+//! - `pushes`: reports that proxies and hosts push.
 //! - `remembered`: what a steward that starts again must still know.
 //! - `round`: sums of all proxies gathered into one look.
 //! - `operator`, `zones`: the runtime API of the steward itself, and the map that operators set.
@@ -23,6 +24,7 @@
 pub mod names;
 mod operator;
 mod peer;
+mod pushes;
 pub mod remembered;
 mod round;
 mod weigher;
--- a/crates/steward/src/operator.rs
+++ b/crates/steward/src/operator.rs
@@ -70,6 +70,7 @@
             Some(servers) => state::write_conn(&servers),
             None => "Can't find backend.\n".into(),
         },
+        Command::ShowMemory => core.account.lines().map(|(of, text)| format!("{of}: {text}\n")).collect(),
         Command::ShowErrors => {
             let line = |(at, text): &(Time, String)| format!("[{:.3}] {text}\n", since(core, *at));
             core.errors.iter().map(line).collect()
@@ -297,6 +298,23 @@
         );
         info.put("RecordsLost", records.lost);
     }
+    if core.pushes.on {
+        let counts = &core.pushes.counts;
+        info.put("Senders", core.pushes.senders());
+        info.put("Reports", counts.taken);
+        info.put("ReportsLate", counts.late);
+        info.put("ReportsDoubled", counts.doubled);
+        info.put("ReportsMissing", counts.missing);
+        info.put("ReportsRestarted", counts.restarted);
+        info.put("ReportsStale", counts.stale);
+        info.put("ReportsRefused", counts.odd);
+        info.put("ReportsOfStrangers", counts.strangers);
+        info.put("ClockJumps", counts.jumps);
+    }
+    for purpose in pondarch_intake::account::PURPOSES {
+        let word = purpose.word();
+        info.put(&format!("Memory_{word}"), core.account.of(purpose).bytes);
+    }
     info.put("LinesWaiting", core.channel.waiting().round() as u64);
     info.put("LinesOrdered", core.peers.iter().map(|peer| peer.ordered).sum::<u64>());
     info.put("LinesRefused", core.peers.iter().map(|peer| peer.refused).sum::<u64>());
--- a/crates/steward/src/round.rs
+++ b/crates/steward/src/round.rs
@@ -13,7 +13,14 @@
     next_at: Time,
     closes_at: Option<Time>,
     awaited: BTreeSet<u16>,
-    gathered: BTreeMap<HostId, Met>,
+    gathered: BTreeMap<HostId, Gathered>,
+}
+
+/// What was met at a host, and since when the oldest of it is known.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Gathered {
+    pub(crate) met: Met,
+    pub(crate) at: Time,
 }
 
 impl Rounds {
@@ -52,11 +59,18 @@
         self.awaited.remove(&proxy);
     }
 
-    /// One proxy's look. Two looks at a host add up; their spans are of the same seconds.
-    pub(crate) fn came(&mut self, proxy: u16, look: &Look) {
+    /// One proxy's look, as of then, of which this part counts. Two looks at a host add up; their spans are of the same
+    /// seconds.
+    pub(crate) fn came(&mut self, proxy: u16, look: &Look, counts: f64, at: Time) {
         self.awaited.remove(&proxy);
+        if counts <= 0.0 {
+            return;
+        }
         for (host, met) in &look.met {
-            let all = self.gathered.entry(host.clone()).or_default();
+            let met = Met { tries: met.tries * counts, errored: met.errored * counts, ..*met };
+            let all = self.gathered.entry(host.clone()).or_insert(Gathered { met: Met::default(), at });
+            all.at = all.at.min(at);
+            let all = &mut all.met;
             let (done, more) = (all.tries - all.errored, met.tries - met.errored);
             if more > 0.0 {
                 let sum = all.mean_time.as_micros() as f64 * done + met.mean_time.as_micros() as f64 * more;
@@ -69,7 +83,7 @@
     }
 
     /// All that was gathered, once everybody answered or the wait is over.
-    pub(crate) fn closed(&mut self, now: Time) -> Option<BTreeMap<HostId, Met>> {
+    pub(crate) fn closed(&mut self, now: Time) -> Option<BTreeMap<HostId, Gathered>> {
         let at = self.closes_at?;
         if now < at && !self.awaited.is_empty() {
             return None;
@@ -77,4 +91,14 @@
         self.closes_at = None;
         Some(std::mem::take(&mut self.gathered))
     }
+
+    /// What was not told in this round is told in the next, with what comes until then.
+    pub(crate) fn keep(&mut self, host: HostId, gathered: Gathered) {
+        self.gathered.insert(host, gathered);
+    }
+
+    /// What is gathered takes, in bytes, roughly.
+    pub(crate) fn bytes(&self) -> u64 {
+        self.gathered.len() as u64 * 160
+    }
 }
--- a/crates/steward/src/wire.rs
+++ b/crates/steward/src/wire.rs
@@ -3,6 +3,7 @@
 use crate::remembered::Remembered;
 use pondarch::types::{Load, Met, Span, Time};
 use pondarch_dns_rules::Heard;
+use pondarch_load_push::{Report, SenderIs};
 use pondarch_settings::HostEntry;
 use pondarch_weights::{Fleet, Plan};
 use serde::{Deserialize, Serialize};
@@ -55,6 +56,27 @@
         table: Option<u16>,
         serial: u32,
     },
+    /// Somebody who pushes reports said who it is; `run` tells its starts apart.
+    SenderCame {
+        conn: u64,
+        name: String,
+        is: SenderIs,
+        run: u64,
+    },
+    Pushed {
+        conn: u64,
+        report: Box<Report>,
+    },
+    SenderLeft {
+        conn: u64,
+    },
+    /// What the edge takes of memory, in bytes, where that changed; and how often it turned something away.
+    Memory {
+        waiting: u64,
+        records: u64,
+        connections: u64,
+        capped: u64,
+    },
     /// Something was heard of a secondary.
     Secondary {
         n: u16,
@@ -123,6 +145,25 @@
     ViewChanged {
         serial: u32,
     },
+    /// A sender may send so many more reports; said at this time.
+    Credit {
+        conn: u64,
+        more: u32,
+        at_us: u64,
+    },
+    /// A sender is not taken, or not any more.
+    RefuseSender {
+        conn: u64,
+        why: String,
+    },
+    /// A round was told to the module: hosts told of, those kept for the next one, how old the oldest figure was, and what
+    /// was too old to be told.
+    Looked {
+        hosts: usize,
+        kept: usize,
+        oldest_us: u64,
+        dropped: usize,
+    },
     /// A secondary is to be told that the zone has changed.
     SayChanged {
         secondary: u16,
@@ -221,6 +262,11 @@
         stopped: Option<String>,
         lost: u64,
     },
+    /// A report had figures that cannot be: the last one, and how many so far.
+    ReportRefused {
+        wrong: String,
+        refused: u64,
+    },
     /// A host that started anew is left out of all tables while DNS caches hold answers from before its start.
     KeptOut {
         host: String,
--- a/crates/steward/tests/in_memory/main.rs
+++ b/crates/steward/tests/in_memory/main.rs
@@ -3,6 +3,7 @@
 mod hard_cases;
 mod names;
 mod operators;
+mod pushes;
 mod replay;
 mod town;
 mod weights;
--- a/crates/steward/tests/in_memory/town.rs
+++ b/crates/steward/tests/in_memory/town.rs
@@ -225,7 +225,12 @@
                 };
                 self.give(Input::Solved { number, plan: answer });
             }
-            Output::Probe { .. } | Output::ViewChanged { .. } | Output::SayChanged { .. } => {}
+            Output::Probe { .. }
+            | Output::ViewChanged { .. }
+            | Output::SayChanged { .. }
+            | Output::Credit { .. }
+            | Output::RefuseSender { .. }
+            | Output::Looked { .. } => {}
         }
     }
 
