--- a/crates/cli/src/rehearse.rs
+++ b/crates/cli/src/rehearse.rs
@@ -3,7 +3,7 @@
 use crate::failed;
 use clap::{Args, Subcommand, ValueEnum};
 use pondarch_rehearsal::bad_day::RehearsalError;
-use pondarch_rehearsal::{bad_day, kills, storm, trial, weighing};
+use pondarch_rehearsal::{bad_day, flood, kills, storm, trial, weighing};
 use serde::Serialize;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -56,6 +56,24 @@
         #[command(flatten)]
         show: Show,
     },
+    /// Reports pushed at the expected rate and at many times it, with hosts that hang in the middle.
+    Reports {
+        #[arg(long, default_value_t = 740)]
+        proxies: usize,
+        #[arg(long, default_value_t = 700)]
+        hosts: usize,
+        /// Times the expected rate, one after the other.
+        #[arg(long, value_delimiter = ',', default_values_t = [1, 3, 10])]
+        times: Vec<u32>,
+        /// Seconds of each.
+        #[arg(long, default_value_t = 30)]
+        each: u64,
+        /// Lines of hosts that decisions take in a second; absent: all.
+        #[arg(long)]
+        lines: Option<f64>,
+        #[command(flatten)]
+        show: Show,
+    },
     /// Many proxies and hosts, no traffic: joins, drains, and what they cost.
     Storm {
         #[arg(long, default_value_t = 200)]
@@ -182,6 +200,23 @@
             }
             Ok(report.holds())
         }
+        Scene::Reports { proxies, hosts, times, each, lines, show } => {
+            let sound = times.iter().all(|times| (1..=100).contains(times)) && !times.is_empty();
+            if !(1..=1_000).contains(&proxies)
+                || !(8..=5_000).contains(&hosts)
+                || !(2..=7_200).contains(&each)
+                || !sound
+            {
+                return Err("1 to 1000 proxies, 8 to 5000 hosts, 1 to 100 times, 2 to 7200 s".into());
+            }
+            let folder = show.folder()?;
+            let each = std::time::Duration::from_secs(each);
+            let plan = flood::Plan { proxies, hosts, times, each, lines_per_second: lines };
+            let report = flood::play(&plan, &program, &folder).await.map_err(|wrong| wrong.to_string())?;
+            show.print(&report, report.text())?;
+            show.tidy(&folder);
+            Ok(true)
+        }
         Scene::Storm { proxies, hosts, show } => {
             if !(1..=1_000).contains(&proxies) || !(8..=5_000).contains(&hosts) {
                 return Err("a storm has 1 to 1000 proxies and 8 to 5000 hosts".into());
--- a/crates/daemon/src/dial.rs
+++ b/crates/daemon/src/dial.rs
@@ -17,6 +17,8 @@
 /// Groups of lines that wait for a connection's task. The core has one batch and one look under way at most, so
 /// this is never reached by a proxy that answers; one that does not is hung up at the answer limit.
 const GROUPS_MOST: usize = 16;
+/// And bytes of them: a few times the largest batch of a large site.
+const BYTES_MOST: u64 = 4 << 20;
 
 /// One connection, or the try at one. Dropping it closes the connection.
 pub(crate) struct Connection {
@@ -48,7 +50,7 @@
     /// Hands lines over without waiting. Gives whether there was room.
     pub(crate) fn write(&self, lines: Vec<String>) -> bool {
         let bytes = bytes(&lines);
-        let taken = self.lines.try_send(lines).is_ok();
+        let taken = self.waiting() + bytes <= BYTES_MOST && self.lines.try_send(lines).is_ok();
         if taken {
             self.waiting.fetch_add(bytes, Relaxed);
         }
--- a/crates/intake/src/account.rs
+++ b/crates/intake/src/account.rs
@@ -46,9 +46,9 @@
     /// What is done at the cap.
     pub fn at_cap(self) -> &'static str {
         match self {
-            Purpose::Reports => "the oldest sums are dropped",
-            Purpose::Tables => "nothing more is kept of tables that no proxy uses",
-            Purpose::Waiting => "who does not read is hung up",
+            Purpose::Reports => "what senders' figures are checked by is dropped, the largest first",
+            Purpose::Tables => "what is kept ready of tables that no proxy uses is dropped",
+            Purpose::Waiting => "who does not read is given no more, and hung up at the answer limit",
             Purpose::Records => "a gap is recorded",
             Purpose::Connections => "no more are taken",
         }
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -10,12 +10,13 @@
 //! - `service`: benefit answered in time over benefit asked for, by span of the day.
 //! - `site`: the settings and list that the stewards are given.
 //! - `stream`: a recorded stream of reqs in a columnar file.
-//! - `bad_day`, `kills`, `storm`, `trial`, `weighing`: the scripts.
+//! - `bad_day`, `flood`, `kills`, `storm`, `trial`, `weighing`: the scripts.
 
 pub mod bad_day;
 pub mod by_name;
 pub mod client;
 pub mod facts;
+pub mod flood;
 pub mod front;
 pub mod host;
 pub mod kills;
--- a/crates/rehearsal/src/storm.rs
+++ b/crates/rehearsal/src/storm.rs
@@ -73,24 +73,10 @@
     let io = |what: &'static str| move |wrong| RehearsalError::Io { what: what.into(), wrong };
     let facts = Facts::default();
     let mut list = List::new(folder.join("hosts.jsonnet"), facts.clone());
-    let entry = |n: usize| Entry {
-        addr: ([127, 1, (n / 250) as u8, (n % 250) as u8 + 1], 9).into(),
-        zone: ZONES[n % 4].into(),
-        rack: format!("rack-{}", n / 6),
-        weight: 1.0,
-        cores: 1.0,
-        started: None,
-        listed: Listed::Ready,
-    };
-    list.change(|all| all.extend((0..plan.hosts).map(|n| (format!("host-{n}"), entry(n)))))
-        .map_err(io("the list cannot be written"))?;
+    list.change(|all| all.extend(entries(plan.hosts))).map_err(io("the list cannot be written"))?;
     let mut proxies = Vec::new();
     for n in 0..plan.proxies {
-        let name = format!("front-{n}");
-        let seed = n as u64;
-        proxies.push(
-            Front::start(&name, ZONES[n % 4], &ZONES, &kinds(), list.file(), seed, facts.clone()).await?,
-        );
+        proxies.push(front(n, list.file(), &facts).await?);
     }
     let settings = folder.join("steward.jsonnet");
     write_settings(&settings, &site(plan)).map_err(io("settings cannot be written"))?;
@@ -147,6 +133,26 @@
     })
 }
 
+/// So many hosts that nobody answers for.
+pub(crate) fn entries(hosts: usize) -> impl Iterator<Item = (String, Entry)> {
+    let entry = |n: usize| Entry {
+        addr: ([127, 1, (n / 250) as u8, (n % 250) as u8 + 1], 9).into(),
+        zone: ZONES[n % 4].into(),
+        rack: format!("rack-{}", n / 6),
+        weight: 1.0,
+        cores: 1.0,
+        started: None,
+        listed: Listed::Ready,
+    };
+    (0..hosts).map(move |n| (format!("host-{n}"), entry(n)))
+}
+
+/// The n-th proxy.
+pub(crate) async fn front(n: usize, list: &Path, facts: &Facts) -> Result<Front, RehearsalError> {
+    let (name, seed) = (format!("front-{n}"), n as u64);
+    Ok(Front::start(&name, ZONES[n % 4], &ZONES, &kinds(), list, seed, facts.clone()).await?)
+}
+
 fn kinds() -> Vec<Kind> {
     let kind = |name| Kind {
         name,
@@ -160,7 +166,7 @@
     KINDS.map(kind).into()
 }
 
-fn site(plan: &Plan) -> serde_json::Value {
+pub(crate) fn site(plan: &Plan) -> serde_json::Value {
     let kind = |name: &str| json!({"name": name, "response_target": "1 s", "client_timeout": "3 s", "benefit": 1, "repeats": "replayable"});
     let proxy = |n: usize| {
         json!({"name": format!("front-{n}"), "zone": ZONES[n % 4], "runtime": format!("unix:front-{n}.sock"),
@@ -179,13 +185,13 @@
     })
 }
 
-fn start(program: &Path, settings: &Path, folder: &Path) -> Result<Child, RehearsalError> {
+pub(crate) fn start(program: &Path, settings: &Path, folder: &Path) -> Result<Child, RehearsalError> {
     let wrong = |wrong| RehearsalError::Io { what: "a steward cannot be started".into(), wrong };
     spawn(program, &["--log-level", "warn", "run"], settings, &folder.join("steward.log")).map_err(wrong)
 }
 
 /// Waits until all are joined and nothing waits; gives the most lines that were seen waiting.
-async fn until_settled(plan: &Plan, folder: &Path) -> Result<u64, RehearsalError> {
+pub(crate) async fn until_settled(plan: &Plan, folder: &Path) -> Result<u64, RehearsalError> {
     let (began, mut most, mut quiet) = (Instant::now(), 0, 0);
     while began.elapsed() < LIMIT {
         let text = crate::bad_day::ask(&folder.join("steward.sock"), "show info").await.unwrap_or_default();
@@ -230,7 +236,7 @@
 }
 
 /// CPU time of a process so far, by the system's account (ticks of 10 ms).
-fn cpu_ms(child: &Child) -> f64 {
+pub(crate) fn cpu_ms(child: &Child) -> f64 {
     let stat = child
         .id()
         .and_then(|id| std::fs::read_to_string(format!("/proc/{id}/stat")).ok())
--- a/crates/steward/src/books.rs
+++ b/crates/steward/src/books.rs
@@ -103,7 +103,15 @@
 
     /// What all tables take, in bytes, roughly: as dealt, and as proxies are to hold them.
     pub(crate) fn bytes(&self) -> u64 {
-        self.books.values().map(|book| 200 + book.dealt.len() as u64 * 200).sum()
+        let ready = |book: &Book| book.lines.as_ref().map_or(0, |lines| lines.len() as u64 * 100);
+        self.books.values().map(|book| 200 + book.dealt.len() as u64 * 100 + ready(book)).sum()
+    }
+
+    /// Gives up what is kept ready of tables that no proxy uses; gives of how many.
+    pub(crate) fn shed(&mut self, used: &BTreeSet<TableId>) -> u64 {
+        let idle = |(table, book): &(&TableId, &mut Book)| !used.contains(table) && book.lines.is_some();
+        let idle = self.books.iter_mut().filter(idle);
+        idle.map(|(_, book)| book.lines = None).count() as u64
     }
 
     pub(crate) fn levels(
--- a/crates/steward/src/course.rs
+++ b/crates/steward/src/course.rs
@@ -463,9 +463,16 @@
         self.round_closed(fresh);
         self.tell_odd();
         let reports = self.rounds.bytes() + self.pushes.bytes() + self.loads.len() as u64 * 150;
-        self.account.takes(Purpose::Reports, reports);
+        if !self.account.takes(Purpose::Reports, reports) {
+            let times = self.pushes.shed(reports - Purpose::Reports.cap());
+            self.account.capped(Purpose::Reports, times);
+        }
         let tables = self.books.bytes() + self.peers.iter().map(|peer| peer.session.bytes()).sum::<u64>();
-        self.account.takes(Purpose::Tables, tables);
+        if !self.account.takes(Purpose::Tables, tables) {
+            let used = self.peers.iter().flat_map(|peer| peer.bound.values().copied()).collect();
+            let times = self.books.shed(&used);
+            self.account.capped(Purpose::Tables, times);
+        }
     }
 
     fn candidate(&self, host: &HostId, of: &Gathered) -> Candidate {
--- a/crates/steward/src/operator.rs
+++ b/crates/steward/src/operator.rs
@@ -309,6 +309,7 @@
         info.put("ReportsStale", counts.stale);
         info.put("ReportsRefused", counts.odd);
         info.put("ReportsOfStrangers", counts.strangers);
+        info.put("ReportsUnlisted", counts.unlisted);
         info.put("ClockJumps", counts.jumps);
     }
     for purpose in pondarch_intake::account::PURPOSES {
--- a/crates/steward/src/pushes.rs
+++ b/crates/steward/src/pushes.rs
@@ -37,6 +37,12 @@
     last_at: Time,
 }
 
+impl Known {
+    fn bytes(&self) -> u64 {
+        300 + self.last.len() as u64 * 120
+    }
+}
+
 /// What became of reports so far.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Counts {
@@ -51,6 +57,8 @@
     pub(crate) odd: u64,
     pub(crate) jumps: u64,
     pub(crate) strangers: u64,
+    /// Lines of hosts that are not listed.
+    pub(crate) unlisted: u64,
     pub(crate) last_odd: Option<String>,
 }
 
@@ -77,8 +85,23 @@
 
     /// What all of it takes, in bytes, roughly.
     pub(crate) fn bytes(&self) -> u64 {
-        let known = self.known.values().map(|known| 300 + known.last.len() as u64 * 120).sum::<u64>();
-        known + self.senders.len() as u64 * 150
+        self.known.values().map(Known::bytes).sum::<u64>() + self.senders.len() as u64 * 150
+    }
+
+    /// Gives up what figures are checked by until so many bytes are free, the largest first; gives of how many senders.
+    pub(crate) fn shed(&mut self, bytes: u64) -> u64 {
+        let (mut freed, mut times) = (0, 0);
+        let mut largest: Vec<&mut Known> = self.known.values_mut().collect();
+        largest.sort_by_key(|known| std::cmp::Reverse(known.last.len()));
+        for known in largest {
+            if freed >= bytes {
+                break;
+            }
+            let before = known.bytes();
+            known.last.clear();
+            (freed, times) = (freed + before - known.bytes(), times + 1);
+        }
+        times
     }
 }
 
@@ -113,8 +136,16 @@
         self.pushes.senders.remove(&conn);
     }
 
-    pub(crate) fn pushed(&mut self, conn: u64, report: Report) {
+    pub(crate) fn pushed(&mut self, conn: u64, mut report: Report) {
         let now = self.now;
+        // Hosts that nobody listed are no evidence, and would be kept for nothing, however many a sender makes up.
+        let hosts = &self.list.known;
+        let listed = |of: &Counted| {
+            of.server.as_ref().is_none_or(|host| hosts.contains_key(&HostId(host.as_str().into())))
+        };
+        let before = report.body.counted.len();
+        report.body.counted.retain(listed);
+        self.pushes.counts.unlisted += (before - report.body.counted.len()) as u64;
         let Some(Sender { name, is, run }) = self.pushes.senders.get(&conn) else { return };
         let (name, is, run) = (name.clone(), *is, *run);
         self.out.push_back(Output::Credit { conn, more: 1, at_us: micros(now) });
--- a/crates/steward/tests/in_memory/pushes.rs
+++ b/crates/steward/tests/in_memory/pushes.rs
@@ -331,6 +331,31 @@
     assert_eq!(before.lines().next(), town.command(1, "show memory").lines().next());
 }
 
+/// Hosts that nobody listed, made up by the thousand in each report.
+#[test]
+fn made_up_hosts_are_counted_and_not_kept() {
+    let mut town = town(None, 12);
+    let mut pusher = Pusher::proxy(0, 0);
+    pusher.come(&mut town);
+    for round in 0..20 {
+        town.run(1_000);
+        let mut body = body(&town.fronts[0].tables);
+        body.counted.extend((0..5_000).map(|n| Counted {
+            backend: "proof".into(),
+            server: Some(format!("made-up-{round}-{n}")),
+            done: 3,
+            ..Counted::default()
+        }));
+        let report = pusher.report(&town, body);
+        pusher.send(&mut town, report);
+        town.inputs.clear();
+    }
+    town.run(1_500);
+    assert_eq!(town.info("ReportsUnlisted"), 100_000);
+    let reports = town.info("Memory_reports");
+    assert!(reports < 20_000, "{reports}");
+}
+
 /// A host that serves and tells nothing of itself any more is judged by what proxies meet there.
 #[test]
 fn a_host_whose_own_reports_stop_is_not_dead() {
