--- a/crates/dns-front/src/lib.rs
+++ b/crates/dns-front/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! - `zone`: which names there are, and what is asked by them.
 //! - `view`: the tables as they are to be answered.
-//! - `answer`: from one packet to the next, and who asked.
+//! - `answer`, `reply`: from one packet to the next, and who asked.
 //! - `ask`: the asking side.
 //! - `fit`: an answer within the size that there is room for.
 //! - `rows`, `journal`, `transfer`, `keys`: copies of the zone for secondaries, whole and by differences, signed.
@@ -14,13 +14,15 @@
 mod fit;
 mod journal;
 mod keys;
+mod reply;
 mod rows;
 mod transfer;
 mod view;
 mod zone;
 
-pub use answer::{Answerer, Reply, Transport};
+pub use answer::Answerer;
 pub use keys::{Key, KeyError};
+pub use reply::{Reply, Transport};
 pub use rows::{Row, rows};
 pub use transfer::Copies;
 pub use view::{Line, STANDING, View};
--- a/crates/dns-front/src/transfer.rs
+++ b/crates/dns-front/src/transfer.rs
@@ -1,9 +1,9 @@
 //! Copies of the zone for secondaries: word of changes (NOTIFY, RFC 1996), the whole zone (AXFR, RFC 5936) and differences
 //! (IXFR, RFC 1995), all of it signed. Without a known key there is nothing to be had.
 
-use crate::answer::{Reply, Transport};
 use crate::journal::{Changes, Journal};
 use crate::keys::{Chain, Key, Signed, check};
+use crate::reply::{Reply, Transport};
 use crate::rows::{Row, Writer};
 use crate::zone::Zone;
 use hickory_proto::op::{Message, MessageType, Metadata, OpCode, Query, ResponseCode};
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,10 +2,11 @@
 //!
 //! - `jsonnet`: from a file to JSON, and from JSON to a type, with errors that name file, line or key.
 //! - `units`: spans with a unit and endpoints as they are written.
-//! - `site`, `proxy`: what a steward is told of its site, and an obeying proxy.
+//! - `site`, `fronts`, `proxy`: what a steward is told of its site, and an obeying proxy.
 //! - `plan`: a described fleet, for planning.
 //! - `hosts`: the file that lists the hosts.
 
+mod fronts;
 pub mod hosts;
 mod jsonnet;
 pub mod plan;
--- a/crates/steward/src/course.rs
+++ b/crates/steward/src/course.rs
@@ -7,13 +7,13 @@
 use crate::names::{self, Names};
 use crate::peer::{Link, Peer};
 use crate::pushes::Pushes;
-use crate::round::{Gathered, Rounds};
+use crate::round::Rounds;
 use crate::weigher::Weigher;
 use crate::wire::{Event, Input, LoadTold, Output, RecordsState};
 use crate::zones::Zones;
 use pondarch::Steward;
 use pondarch::types::{Admission, HostId, Listing, Met, Span, Time};
-use pondarch_intake::{Account, Candidate, Choice, Purpose, age};
+use pondarch_intake::{Account, Choice, Purpose};
 use pondarch_proxy_front::{Front, FrontKind, Told};
 use pondarch_settings::Site;
 use pondarch_settings::site::{Links, Weights};
@@ -23,7 +23,7 @@
 /// Events that are kept for `show events`, the newest; and errors for `show errors`.
 const KEPT_MOST: usize = 256;
 /// Load reports older than this many of their periods are not passed on: the module weighs them as new.
-const LOAD_PERIODS: f64 = 3.0;
+pub(crate) const LOAD_PERIODS: f64 = 3.0;
 /// Dials under way at one time: a fleet that comes back at once must not flood this machine's sockets.
 const DIALS_MOST: usize = 64;
 
@@ -414,77 +414,6 @@
         }
     }
 
-    /// A round is over: its lines go to the module, within the budget, each with how old it is.
-    fn tell_round(&mut self, gathered: BTreeMap<HostId, Gathered>) {
-        let (now, every) = (self.now, self.report_every);
-        let stale = gathered.iter().filter(|(_, of)| now - of.at >= age::STALE).count();
-        let mut gathered: Vec<(HostId, Gathered)> =
-            gathered.into_iter().filter(|(_, of)| now - of.at < age::STALE).collect();
-        let budget =
-            self.lines_per_second.map_or(usize::MAX, |lines| (lines * every.secs()).max(1.0) as usize);
-        let mut kept = 0;
-        if gathered.len() > budget {
-            let candidates: Vec<Candidate> =
-                gathered.iter().map(|(host, of)| self.candidate(host, of)).collect();
-            let chosen = self.choice.among(now, every, &candidates, budget);
-            let mut n = 0;
-            let told = |_: &mut (HostId, Gathered)| {
-                n += 1;
-                chosen.binary_search(&(n - 1)).is_err()
-            };
-            let rest: Vec<_> = gathered.extract_if(.., told).collect();
-            kept = rest.len();
-            let fades = age::faded(every);
-            for (host, of) in rest {
-                let met = Met { tries: of.met.tries * fades, errored: of.met.errored * fades, ..of.met };
-                let met = Met { over: met.over + every, ..met };
-                self.rounds.keep(host, Gathered { met, ..of });
-            }
-        }
-        let oldest = gathered.iter().map(|(_, of)| now - of.at).max().unwrap_or(Span::ZERO);
-        let mut lines: BTreeMap<HostId, Met> =
-            gathered.into_iter().map(|(host, of)| (host, of.met)).collect();
-        for (host, met) in self.told_of_themselves().into_iter().chain(self.excused()) {
-            lines.entry(host).or_insert(met);
-        }
-        if !lines.is_empty() || kept > 0 {
-            let (hosts, oldest_us) = (lines.len(), oldest.as_micros());
-            self.out.push_back(Output::Looked { hosts, kept, oldest_us, dropped: stale });
-        }
-        let fresh = self.load_every.unwrap_or(Span::ZERO).max(every).times(LOAD_PERIODS);
-        for (host, met) in lines {
-            let load = self.loads.get(&host).filter(|(at, _)| now - *at <= fresh);
-            let load = load.map(|(_, told)| told.load());
-            let met = Met { load, ..met };
-            self.steward.met(now, &host, met);
-            self.told_at.insert(host.clone(), now);
-            self.met.insert(host, met);
-        }
-        self.round_closed(fresh);
-        self.tell_odd();
-        let reports = self.rounds.bytes() + self.pushes.bytes() + self.loads.len() as u64 * 150;
-        if !self.account.takes(Purpose::Reports, reports) {
-            let times = self.pushes.shed(reports - Purpose::Reports.cap());
-            self.account.capped(Purpose::Reports, times);
-        }
-        let tables = self.books.bytes() + self.peers.iter().map(|peer| peer.session.bytes()).sum::<u64>();
-        if !self.account.takes(Purpose::Tables, tables) {
-            let used = self.peers.iter().flat_map(|peer| peer.bound.values().copied()).collect();
-            let times = self.books.shed(&used);
-            self.account.capped(Purpose::Tables, times);
-        }
-    }
-
-    fn candidate(&self, host: &HostId, of: &Gathered) -> Candidate {
-        Candidate {
-            host: host.clone(),
-            told: self.told_at.get(host).copied().unwrap_or_default(),
-            tries: of.met.tries,
-            errored: of.met.errored,
-            changing: self.list.is_cold(host, self.now) || self.list.must_go(host),
-        }
-    }
-
     pub(crate) fn tell(&mut self, event: Event) {
         if self.events.len() == KEPT_MOST {
             self.events.pop_front();
--- a/crates/steward/src/list.rs
+++ b/crates/steward/src/list.rs
@@ -1,22 +1,13 @@
 //! The hosts as the file lists them, with what operators said over it.
 
-use crate::remembered::{RememberedHost, RememberedList};
+use crate::remembered::{Edit, RememberedHost, RememberedList};
 use crate::wire::micros;
 use pondarch::types::{CellId, HostId, Listing, MachineId, Span, Standing, Time, ZoneId};
 use pondarch_settings::HostEntry;
 use pondarch_settings::hosts::HostState;
-use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-/// What an operator said of a host; it goes over the file until taken back or the file drops the host.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub(crate) struct Edit {
-    pub(crate) state: Option<HostState>,
-    pub(crate) weight: Option<f64>,
-    pub(crate) address: Option<SocketAddr>,
-}
-
 /// One host, file and operators taken together.
 #[derive(Clone, Debug)]
 pub(crate) struct Known {
