Probes whose answer closes the connection count: every one of them had failed

Cause: a host that closes with its answer ended the probe's connection in the moment that the answer was there, and the probe took the end for a failure. Since probes end with the daemon, none was good: loads by probes never came, and hosts that were kept away came back by time alone. Change: when the connection ends, the answer is still awaited; a test with a host that closes.

--- a/crates/daemon/src/probe.rs
+++ b/crates/daemon/src/probe.rs
@@ -59,9 +59,43 @@
         let told = answer.headers().get(HEADER).and_then(|value| value.to_str().ok());
         answer.status().is_success().then(|| told.map(Report::read).unwrap_or_default())
     };
-    // The connection lives as long as the answer is awaited, no longer.
+    // The connection lives as long as the answer is awaited, no longer. A host that closes with its answer ends the
+    // connection in the same moment that the answer is there: that is no failure.
+    tokio::pin!(asked);
     tokio::select! {
-        report = asked => report,
-        _ = connection => None,
+        report = &mut asked => report,
+        _ = connection => asked.await,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpListener;
+
+    /// Such a probe failed each time, and a host that was kept away came back by the passing of time alone.
+    #[tokio::test]
+    async fn an_answer_that_closes_the_connection_counts() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let host = tokio::spawn(async move {
+            for close in ["connection: close\r\n", ""] {
+                let (mut stream, _) = listener.accept().await.expect("a probe");
+                let mut asked = [0; 1024];
+                let len = stream.read(&mut asked).await.expect("a request");
+                assert!(asked[..len].starts_with(b"GET /health"));
+                let answer = format!(
+                    "HTTP/1.1 200 OK\r\n{close}content-length: 0\r\n{HEADER}: TEXT cpu_utilization=0.5\r\n\r\n"
+                );
+                stream.write_all(answer.as_bytes()).await.expect("written");
+            }
+        });
+        for _ in 0..2 {
+            let report = get(addr, "/health").await.expect("an answer");
+            assert_eq!(report.busy, Some(0.5));
+        }
+        host.await.expect("both answered");
+        assert!(get(addr, "/health").await.is_none(), "nobody is there any more");
     }
 }
