--- a/crates/cli/tests/recovery.rs
+++ b/crates/cli/tests/recovery.rs
@@ -195,6 +195,17 @@
     assert!(trimmed.contains("segments dropped"), "{trimmed}");
 }
 
+/// Under load, with drains by the list, and all stewards at once in the end: by what crossed the sockets.
+#[test]
+fn kills_under_load_keep_the_rules() {
+    let output =
+        pondarch(&["--log-level", "error", "rehearse", "kills", "--times", "5", "--seed", "2", "--json"]);
+    let (text, wrong) = (text(&output), String::from_utf8_lossy(&output.stderr).into_owned());
+    assert!(output.status.success(), "{text}\n{wrong}");
+    let report: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+    assert_eq!(report["held"].as_array().map(Vec::len), Some(5), "{text}");
+}
+
 /// A folder that cannot be written: deciding goes on, the state is shown, and writing resumes by itself.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn without_a_disk_it_decides_and_says_so_and_writes_once_there_is_one() {
--- a/crates/rehearsal/src/kills.rs
+++ b/crates/rehearsal/src/kills.rs
@@ -1,5 +1,5 @@
-//! A steward killed again and again under load, each time a moment after a drain was listed: what it was told must hold, by
-//! what crossed the sockets.
+//! A steward killed again and again under load, now and then all of them, each time a moment after a drain was listed: what
+//! it was told must hold, by what crossed the sockets.
 
 use crate::bad_day::stage::{Stage, kinds};
 use crate::bad_day::{Plan, RehearsalError};
@@ -74,11 +74,16 @@
             let listing = |wrong| RehearsalError::Io { what: "the list".into(), wrong };
             stage.list.set(std::slice::from_ref(&host), Listed::Drain).map_err(listing)?;
             sleep(KILLED_WITHIN.mul_f64(chance.f64())).await;
-            let steward = n % plan.stewards;
-            stage.kill_steward(steward).await;
+            // Now and then all of them at once: every proxy comes back in the same moment.
+            let killed = if n % 5 == 4 { 0..plan.stewards } else { n % plan.stewards..n % plan.stewards + 1 };
+            for steward in killed.clone() {
+                stage.kill_steward(steward).await;
+            }
             sleep(AWAY).await;
             let begun = Instant::now();
-            stage.start_steward(steward)?;
+            for steward in killed {
+                stage.start_steward(steward)?;
+            }
             stage.wait_joined().await?;
             joined.push(begun.elapsed().as_secs_f64());
             sleep(DRAINED_FOR).await;
