Read once more: one way to drop segments, plain JSON of records, an alias gone

Cause: the command that trims records wrote again what the log does at each full segment, with the names of its files; rows went to JSON through a trait of their own where a function does; a type's alias had the name of another type. Change: log::trim for both; a generic function; the alias gone. Behaviour as before.

--- a/crates/cli/src/records.rs
+++ b/crates/cli/src/records.rs
@@ -7,7 +7,7 @@
 use pondarch_history::runs::{Flaw, places};
 use pondarch_history::scene::{Scene, of_run};
 use pondarch_history::{HistoryError, export};
-use pondarch_records::{Disk, Folder, Keep, Keeping, log};
+use pondarch_records::{Folder, Keep, Keeping, log};
 use pondarch_settings::read_site;
 use std::io::Write;
 use std::path::{Path, PathBuf};
@@ -132,11 +132,8 @@
                 held.iter().map(|segment| segment.number).filter(|n| *n < number).max().unwrap_or(0)
             });
             let now = pondarch::types::Time::from_micros(pondarch_records::disk::now_us());
-            let drops = Keeping::new(keep).drops(now, &held, needed);
-            for number in &drops {
-                disk.remove(&format!("{number:08}.rec")).map_err(io)?;
-            }
-            println!("{}: {} of {} segments dropped", folder.display(), drops.len(), held.len());
+            let dropped = log::trim(&mut disk, &Keeping::new(keep), now, needed).map_err(io)?;
+            println!("{}: {dropped} of {} segments dropped", folder.display(), held.len());
             Ok(true)
         }
         What::Scene { folder, file, epoch } => {
--- a/crates/history/src/export.rs
+++ b/crates/history/src/export.rs
@@ -71,7 +71,6 @@
         };
         Row { epoch, n, at_us, of, what, proxy, host: text("host"), text: fields.to_string() }
     };
-    let json = |value: &dyn erased::Json| value.json();
     match record {
         Record::Start(start) => {
             *last_us = start.at_us;
@@ -114,20 +113,8 @@
     }
 }
 
-mod erased {
-    use serde::Serialize;
-    use serde_json::Value;
-
-    /// Anything as JSON, without a type of its own for each caller.
-    pub(super) trait Json {
-        fn json(&self) -> Value;
-    }
-
-    impl<T: Serialize> Json for T {
-        fn json(&self) -> Value {
-            serde_json::to_value(self).unwrap_or_default()
-        }
-    }
+fn json(value: &impl Serialize) -> Value {
+    serde_json::to_value(value).unwrap_or_default()
 }
 
 /// A variant's name and its fields.
--- a/crates/records/src/log.rs
+++ b/crates/records/src/log.rs
@@ -81,7 +81,7 @@
         if self.keeping.wrote(now, frames.len() as u64) {
             self.sync()?;
             self.open = false;
-            self.trim(now)?;
+            trim(&mut self.disk, &self.keeping, now, self.needed)?;
         }
         Ok(())
     }
@@ -138,14 +138,6 @@
         Ok(())
     }
 
-    fn trim(&mut self, now: Time) -> io::Result<()> {
-        let held: Vec<Held> = held(&self.disk)?;
-        for number in self.keeping.drops(now, &held, self.needed) {
-            self.disk.remove(&format!("{number:08}{RECORDS}"))?;
-        }
-        Ok(())
-    }
-
     /// The end of a run: all that was written is made sure of.
     pub fn end(mut self, now: Time) {
         if self.open && self.sync().is_err() {
@@ -163,6 +155,15 @@
     number.parse().ok().map(|number| (number, is_snapshot))
 }
 
+/// Drops the segments that are over what is kept, but none from `needed` on; gives how many.
+pub fn trim<D: Disk>(disk: &mut D, keeping: &Keeping, now: Time, needed: u64) -> io::Result<usize> {
+    let drops = keeping.drops(now, &held(disk)?, needed);
+    for number in &drops {
+        disk.remove(&format!("{number:08}{RECORDS}"))?;
+    }
+    Ok(drops.len())
+}
+
 /// The segments of a folder, oldest first.
 pub fn held<D: Disk>(disk: &D) -> io::Result<Vec<Held>> {
     let of = |(name, bytes, written): (String, u64, u64)| match number_of(&name) {
--- a/crates/rehearsal/src/bad_day/stage.rs
+++ b/crates/rehearsal/src/bad_day/stage.rs
@@ -47,7 +47,7 @@
     hosts: BTreeMap<String, Host>,
     pub(crate) proxies: Vec<Front>,
     /// Plain proxies that ask by name.
-    names: crate::by_name::Fronts,
+    names: Vec<Arc<ByName>>,
     pub(crate) list: List,
     stewards: Vec<Option<Child>>,
     program: PathBuf,
--- a/crates/rehearsal/src/by_name.rs
+++ b/crates/rehearsal/src/by_name.rs
@@ -13,7 +13,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpStream, UdpSocket};
@@ -187,9 +187,6 @@
     }
 }
 
-/// Several of them for the clients of a day.
-pub type Fronts = Vec<Arc<ByName>>;
-
 async fn by_udp(server: SocketAddr, packet: &[u8]) -> Option<Vec<u8>> {
     let socket = UdpSocket::bind("127.0.0.1:0").await.ok()?;
     socket.connect(server).await.ok()?;
