--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -50,6 +50,9 @@
         #[arg(long)]
         seed: Option<u64>,
     },
+    /// Runs a steward on the operators' platform, as the variables RELAY_CONFIG, RELAY_LISTEN, RELAY_DISCOVERY and
+    /// RELAY_NAME say, until SIGTERM or SIGINT; SIGHUP reads where the other parties are.
+    Platform,
     /// Runs an obeying proxy until SIGTERM or SIGINT; SIGHUP reads the settings anew.
     Proxy { settings: PathBuf },
     /// Checks settings and the list they name; starts nothing.
@@ -120,13 +123,22 @@
 fn main() -> ExitCode {
     let args = Args::parse();
     start_logs(args.log, args.log_level);
-    let runtime = match tokio::runtime::Runtime::new() {
+    let mut runtime = match args.what {
+        // It has part of one core.
+        What::Platform => tokio::runtime::Builder::new_current_thread(),
+        _ => tokio::runtime::Builder::new_multi_thread(),
+    };
+    let runtime = match runtime.enable_all().build() {
         Ok(runtime) => runtime,
         Err(wrong) => return failed(&format!("cannot start: {wrong}")),
     };
     runtime.block_on(async {
         match args.what {
             What::Run { settings, seed } => run(settings, seed).await,
+            What::Platform => match pondarch_platform_edge::run().await {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(wrong) => failed(&wrong.to_string()),
+            },
             What::Proxy { settings } => match pondarch_proxy::run(&settings).await {
                 Ok(()) => ExitCode::SUCCESS,
                 Err(wrong) => failed(&wrong.to_string()),
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,6 +1,5 @@
 //! The loop that feeds the core and carries out what it gives.
 
-use crate::clock::Clock;
 use crate::desk::Callers;
 use crate::dial::Connection;
 use crate::error::DaemonError;
@@ -9,6 +8,7 @@
 use crate::recorder::{self, Recorder};
 use crate::{dns, hosts_file, log};
 use pondarch::types::Span;
+use pondarch_edge_kit::Clock;
 use pondarch_history::Start;
 use pondarch_load_push::ToSender;
 use pondarch_settings::Site;
--- a/crates/daemon/src/dns.rs
+++ b/crates/daemon/src/dns.rs
@@ -1,11 +1,11 @@
 //! The DNS front's sockets: UDP, and TCP with its two bytes of length (RFC 1035, section 4.2.2; RFC 7766).
 
-use crate::clock::Clock;
 use crate::error::DaemonError;
 use futures_util::{SinkExt, StreamExt};
 use pondarch::types::{ProxyId, Time};
 use pondarch_dns_front::{Answerer, Copies, Key, Reply, Transport, View, Zone, rows};
 use pondarch_dns_rules::Limits;
+use pondarch_edge_kit::Clock;
 use pondarch_settings::site::{Dns, Secondary};
 use pondarch_settings::{Endpoint, Site};
 use pondarch_steward::Input;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,9 +7,8 @@
 //! - `probe`: asks hosts over HTTP.
 //! - `push`: proxies and hosts that push reports.
 //! - `recorder`: records on the way to the disk, and what was found there.
-//! - `clock`, `log`: time that never goes back; events as structured logs.
+//! - `log`: events as structured logs.
 
-mod clock;
 mod daemon;
 mod desk;
 mod dial;
@@ -21,7 +20,7 @@
 mod push;
 mod recorder;
 
-pub use clock::Clock;
 pub use daemon::{Options, run};
 pub use error::DaemonError;
+pub use pondarch_edge_kit::Clock;
 pub use recorder::Recorder;
--- a/crates/daemon/src/recorder.rs
+++ b/crates/daemon/src/recorder.rs
@@ -1,9 +1,9 @@
 //! Records on the way to the disk: a bounded queue, and a thread of its own that writes, makes sure, and takes snapshots.
 //! Nothing that decides waits for it: what finds no room is a gap, and said to be one.
 
-use crate::clock::Clock;
 use crate::error::DaemonError;
 use pondarch::types::{Span, Time};
+use pondarch_edge_kit::Clock;
 use pondarch_history::{Boot, Decision, Record, Snapshot, Start, recover};
 use pondarch_records::disk::LockError;
 use pondarch_records::keeping::State;
--- /dev/null
+++ b/crates/edge-kit/src/lib.rs
@@ -0,0 +1,10 @@
+//! What every edge of a steward needs.
+//!
+//! - `clock`: time that never goes back.
+//! - `get`: an HTTP question to a host, with a bound on the answer.
+
+mod clock;
+mod get;
+
+pub use clock::Clock;
+pub use get::{Answer, get};
--- /dev/null
+++ b/crates/platform-edge/src/clients.rs
@@ -0,0 +1,163 @@
+//! Who connects to the steward's own address: collectors, askers for a sign of life, and strangers.
+
+use crate::task::{Gone, Task, Told, Word};
+use futures_util::StreamExt;
+use pondarch::types::ZoneId;
+use pondarch_platform_wire::report::{self, Message, Spoilt};
+use pondarch_platform_wire::resp::{WordsCodec, message};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, timeout, timeout_at};
+use tokio_util::codec::FramedRead;
+
+/// Who has not joined by then is closed.
+const JOIN_LIMIT: Duration = Duration::from_millis(1_000);
+/// Bytes of a message of one who has not joined, and of one who has: a report takes some 300.
+const STRANGER_BYTES: usize = 1024;
+const COLLECTOR_BYTES: usize = 16 * 1024;
+/// Collectors of one zone: one that returns replaces its silent former self, and a stranger that takes a zone's
+/// name does not push the true one out.
+const COLLECTORS_A_ZONE: usize = 3;
+const WRITE_LIMIT: Duration = Duration::from_millis(500);
+/// Messages that say nothing, one after another, after which a collector is of no further use.
+const SPOILT_MOST: u32 = 200;
+
+/// The connections that are open, each with its task.
+pub(crate) struct Clients {
+    say: mpsc::Sender<Told>,
+    most: usize,
+    next: u64,
+    open: BTreeMap<u64, Client>,
+    /// Ended connections by reason, for the log.
+    pub(crate) ended: BTreeMap<Gone, u64>,
+}
+
+struct Client {
+    zone: Option<ZoneId>,
+    /// Says to the task that it has joined.
+    joined: watch::Sender<bool>,
+    _task: Task,
+}
+
+impl Clients {
+    pub(crate) fn new(most: usize, say: mpsc::Sender<Told>) -> Clients {
+        Clients { say, most, next: 0, open: BTreeMap::new(), ended: BTreeMap::new() }
+    }
+
+    pub(crate) fn open(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Takes a connection; if there is no room, the stranger that came first goes.
+    pub(crate) fn accept(&mut self, stream: TcpStream) {
+        if self.open.len() >= self.most {
+            let oldest = self.open.iter().find(|(_, client)| client.zone.is_none()).map(|(id, _)| *id);
+            let Some(oldest) = oldest else { return };
+            self.end(oldest, Gone::Crowded);
+        }
+        self.next += 1;
+        let (id, say) = (self.next, self.say.clone());
+        let (joined, told) = watch::channel(false);
+        let task = Task::spawn(async move {
+            let why = serve(stream, id, told, &say).await;
+            // If the program is gone, nobody needs to know.
+            say.send((0, Word::ClientGone { client: id, why })).await.ok();
+        });
+        self.open.insert(id, Client { zone: None, joined, _task: task });
+    }
+
+    /// A connection named its zone; none: there is no such zone.
+    pub(crate) fn joins(&mut self, id: u64, zone: Option<ZoneId>) {
+        let Some(zone) = zone else { return self.end(id, Gone::NotOurs) };
+        let Some(client) = self.open.get_mut(&id) else { return };
+        client.zone = Some(zone);
+        // The task may just have ended; then its word is on its way.
+        client.joined.send(true).ok();
+        let same = |(id, client): (&u64, &Client)| (client.zone == Some(zone)).then_some(*id);
+        let of_zone: Vec<u64> = self.open.iter().filter_map(same).collect();
+        let over = of_zone.len().saturating_sub(COLLECTORS_A_ZONE);
+        of_zone[..over].iter().for_each(|&id| self.end(id, Gone::Crowded));
+    }
+
+    pub(crate) fn end(&mut self, id: u64, why: Gone) {
+        if self.open.remove(&id).is_some() {
+            *self.ended.entry(why).or_default() += 1;
+        }
+    }
+}
+
+/// One connection to its end.
+async fn serve(
+    mut stream: TcpStream,
+    id: u64,
+    told: watch::Receiver<bool>,
+    say: &mpsc::Sender<Told>,
+) -> Gone {
+    stream.set_nodelay(true).ok();
+    let (reading, mut writing) = stream.split();
+    let mut messages = FramedRead::with_capacity(reading, WordsCodec { limit: STRANGER_BYTES }, 1024);
+    let limit = Instant::now() + JOIN_LIMIT;
+    let (mut named, mut spoilt) = (false, 0);
+    loop {
+        let next = if named { Ok(messages.next().await) } else { timeout_at(limit, messages.next()).await };
+        let words = match next {
+            Ok(Some(Ok(words))) => words,
+            Ok(Some(Err(wrong))) => {
+                let broken = matches!(wrong, pondarch_platform_wire::resp::FrameError::Io(_));
+                if broken {
+                    return Gone::Broken;
+                }
+                refuse(&mut writing, named).await;
+                return Gone::Unreadable;
+            }
+            Ok(None) => return Gone::Closed,
+            Err(_) => {
+                refuse(&mut writing, named).await;
+                return Gone::NeverJoined;
+            }
+        };
+        let word = match report::read(&words) {
+            Ok(Message::Ping) => {
+                let pong = timeout(WRITE_LIMIT, writing.write_all(&message(&["pong"]))).await;
+                if !matches!(pong, Ok(Ok(()))) {
+                    return Gone::Broken;
+                }
+                continue;
+            }
+            Ok(Message::Collector { site }) if !named => {
+                named = true;
+                messages.decoder_mut().limit = COLLECTOR_BYTES;
+                Word::Collector { client: id, site }
+            }
+            Ok(Message::Collector { .. }) => Word::Spoilt(Spoilt::Kind),
+            Ok(said) if named => Word::Said(said),
+            Err(why) if named => Word::Spoilt(why),
+            _ => {
+                refuse(&mut writing, named).await;
+                return Gone::NotOurs;
+            }
+        };
+        spoilt = if matches!(word, Word::Spoilt(_)) { spoilt + 1 } else { 0 };
+        if spoilt > SPOILT_MOST || say.send((0, word)).await.is_err() {
+            return Gone::Unreadable;
+        }
+        // Nothing more is read of one whose zone is not known to be one: the program closes it.
+        if named && !*told.borrow() {
+            let mut told = told.clone();
+            if told.wait_for(|joined| *joined).await.is_err() {
+                return Gone::NotOurs;
+            }
+        }
+    }
+}
+
+/// Nothing is ever written to a collector.
+async fn refuse(writing: &mut tokio::net::tcp::WriteHalf<'_>, named: bool) {
+    if !named {
+        // A close says the same.
+        timeout(WRITE_LIMIT, writing.write_all(&message(&["refused"]))).await.ok();
+    }
+}
--- /dev/null
+++ b/crates/platform-edge/src/discovery.rs
@@ -0,0 +1,102 @@
+//! The watch on discovery: the list once whole from each address, then what changes.
+
+use crate::task::{DIAL_LIMIT, DIAL_PAUSE, Told, Word};
+use bytes::BytesMut;
+use http_body_util::{BodyExt, Empty};
+use hyper::Request;
+use hyper::body::{Bytes, Incoming};
+use hyper_util::rt::TokioIo;
+use pondarch_edge_kit::get;
+use pondarch_platform_wire::registry::{self, LIST_MOST, Listed};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout};
+
+/// An empty line comes every 2 s. What is told counts as told 6 s later: silence is noticed well within that.
+const SILENCE_LIMIT: Duration = Duration::from_millis(2_500);
+const ANSWER_LIMIT: Duration = Duration::from_millis(1_000);
+const PATH: &str = "/registry/instances";
+
+/// `since`: the version of what is known already at this address; none: all is asked for first, since an address
+/// that is new may number its versions otherwise.
+pub(crate) async fn run(to: SocketAddr, age: u64, mut since: Option<u64>, say: mpsc::Sender<Told>) {
+    loop {
+        let why = follow(to, age, &mut since, &say).await;
+        // If the program is gone, nobody needs to know.
+        say.send((age, Word::ListLost(why))).await.ok();
+        sleep(DIAL_PAUSE).await;
+    }
+}
+
+async fn follow(to: SocketAddr, age: u64, since: &mut Option<u64>, say: &mpsc::Sender<Told>) -> String {
+    if since.is_none() {
+        let whole = timeout(ANSWER_LIMIT, get(to, PATH, LIST_MOST)).await.ok().flatten();
+        let Some(whole) = whole else { return "no whole list".into() };
+        match registry::read(&whole.body) {
+            Ok(listed) => tell(Listed { whole: true, ..listed }, age, since, say).await,
+            Err(wrong) => return wrong.to_string(),
+        }
+    }
+    let asked = timeout(ANSWER_LIMIT, watch(to, since.unwrap_or(0))).await;
+    let (mut body, _connection) = match asked {
+        Ok(Ok(watching)) => watching,
+        Ok(Err(wrong)) => return wrong,
+        Err(_) => return "no answer".into(),
+    };
+    let mut held = BytesMut::new();
+    loop {
+        let frame = match timeout(SILENCE_LIMIT, body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(Some(Err(wrong))) => return wrong.to_string(),
+            Ok(None) => return "closed by discovery".into(),
+            Err(_) => return "silent".into(),
+        };
+        let Ok(data) = frame.into_data() else { continue };
+        let searched = held.len();
+        held.extend_from_slice(&data);
+        let mut from = searched;
+        while let Some(end) = held[from..].iter().position(|&byte| byte == b'\n').map(|at| at + from) {
+            let line = held.split_to(end + 1);
+            from = 0;
+            if line.iter().all(u8::is_ascii_whitespace) {
+                continue;
+            }
+            match registry::read(&line) {
+                Ok(listed) => tell(listed, age, since, say).await,
+                Err(wrong) => return wrong.to_string(),
+            }
+        }
+        if held.len() > LIST_MOST {
+            return "a line without end".into();
+        }
+    }
+}
+
+async fn tell(listed: Listed, age: u64, since: &mut Option<u64>, say: &mpsc::Sender<Told>) {
+    *since = Some(listed.generation);
+    // If the program is gone, nobody needs to know.
+    say.send((age, Word::Listed(listed))).await.ok();
+}
+
+/// The answer's body, and the task that drives its connection.
+async fn watch(to: SocketAddr, since: u64) -> Result<(Incoming, crate::task::Task), String> {
+    let stream = match timeout(DIAL_LIMIT, TcpStream::connect(to)).await {
+        Ok(stream) => stream.map_err(|wrong| wrong.to_string())?,
+        Err(_) => return Err("never came up".into()),
+    };
+    let (mut asking, connection) =
+        hyper::client::conn::http1::handshake::<_, Empty<Bytes>>(TokioIo::new(stream))
+            .await
+            .map_err(|wrong| wrong.to_string())?;
+    // How the connection ends shows in the body.
+    let connection = crate::task::Task::spawn(async move { drop(connection.await) });
+    let req = Request::get(format!("{PATH}?follow=1&since={since}")).header("host", to.to_string());
+    let req = req.body(Empty::new()).map_err(|wrong| wrong.to_string())?;
+    let answer = asking.send_request(req).await.map_err(|wrong| wrong.to_string())?;
+    if !answer.status().is_success() {
+        return Err(format!("status {}", answer.status().as_u16()));
+    }
+    Ok((answer.into_body(), connection))
+}
--- /dev/null
+++ b/crates/platform-edge/src/lib.rs
@@ -0,0 +1,20 @@
+//! A steward's edge on the platform: sockets, signals and files around the core, on one thread.
+//!
+//! - `program`: reads what it is told, feeds the core, carries out what it gives, ends what it started.
+//! - `parties`: the connections to discovery and relay, and their move to new addresses.
+//! - `calls`, `news`, `discovery`: one such connection each, as a task that dials again.
+//! - `clients`: who connects to the steward's own address.
+//! - `probes`: asks hosts for their load.
+//! - `log`: bounded lines a second.
+
+mod calls;
+mod clients;
+mod discovery;
+mod log;
+mod news;
+mod parties;
+mod probes;
+mod program;
+mod task;
+
+pub use program::{PlatformError, run};
--- /dev/null
+++ b/crates/platform-edge/src/program.rs
@@ -0,0 +1,229 @@
+//! The loop that feeds the core and carries out what it gives.
+
+use crate::clients::Clients;
+use crate::log::Lines;
+use crate::parties::Parties;
+use crate::probes::Probes;
+use crate::task::{Gone, Told, Word};
+use pondarch_edge_kit::Clock;
+use pondarch_platform_steward::{CallEnd, Core, Input, Output, Tally};
+use pondarch_platform_wire::config::{self, Config, ConfigError, Env};
+use std::path::PathBuf;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep_until};
+use tracing::{info, warn};
+
+/// Words that wait for the program; whoever brings one more waits, and is read from later.
+const WORDS_MOST: usize = 512;
+/// Descriptors kept for the steward's own connections, probes and files.
+const OWN_SOCKETS: usize = 64;
+const CLIENTS_MOST: usize = 512;
+/// Between two tries to read a configuration that could not be read.
+const AGAIN: Duration = Duration::from_millis(100);
+const TALLY_EVERY: Duration = Duration::from_secs(5);
+/// After connections could not be accepted: out of descriptors, say.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+#[derive(Debug, Error)]
+pub enum PlatformError {
+    #[error("RELAY_CONFIG is not set")]
+    NoConfig,
+    #[error("{0}: {1}")]
+    Read(PathBuf, std::io::Error),
+    #[error("{0}: {1}")]
+    Config(PathBuf, ConfigError),
+    #[error("cannot listen at {0}: {1}")]
+    Listen(std::net::SocketAddr, std::io::Error),
+    #[error("cannot follow signals: {0}")]
+    Signals(std::io::Error),
+}
+
+/// Runs a steward as the platform's variables say, until SIGTERM or SIGINT.
+pub async fn run() -> Result<(), PlatformError> {
+    let var = |name| std::env::var(name).ok().filter(|value| !value.is_empty());
+    let env = Env { name: var("RELAY_NAME"), listen: var("RELAY_LISTEN"), discovery: var("RELAY_DISCOVERY") };
+    let path = PathBuf::from(var("RELAY_CONFIG").ok_or(PlatformError::NoConfig)?);
+    let text = std::fs::read(&path).map_err(|wrong| PlatformError::Read(path.clone(), wrong))?;
+    let config = config::read(&text, &env).map_err(|wrong| PlatformError::Config(path.clone(), wrong))?;
+    drop(text);
+    let mut stop = signal(SignalKind::terminate()).map_err(PlatformError::Signals)?;
+    let mut stop_too = signal(SignalKind::interrupt()).map_err(PlatformError::Signals)?;
+    let mut moved = signal(SignalKind::hangup()).map_err(PlatformError::Signals)?;
+    let listen = |wrong| PlatformError::Listen(config.listen, wrong);
+    let listener = TcpListener::bind(config.listen).await.map_err(listen)?;
+    let mut steward = Program::start(config);
+    let mut read_again: Option<Instant> = None;
+    let mut told_of_config = false;
+    let mut tally_at = Instant::now() + TALLY_EVERY;
+    let mut accept_from = Instant::now();
+    loop {
+        steward.carry_out();
+        let wake = steward.core.wake_at().map(|at| Instant::from_std(steward.clock.instant(at)));
+        tokio::select! {
+            biased;
+            _ = stop.recv() => break,
+            _ = stop_too.recv() => break,
+            _ = moved.recv() => (read_again, told_of_config) = (Some(Instant::now()), false),
+            Some(told) = steward.words.recv() => steward.told(told),
+            () = at(wake) => steward.core.handle(steward.clock.now(), Input::Clock),
+            () = at(read_again) => {
+                let read = std::fs::read(&path).map_err(|wrong| wrong.to_string());
+                let around = read.and_then(|text| config::read_around(&text, &env).map_err(|e| e.to_string()));
+                match around {
+                    Ok(around) => {
+                        info!(discovery = %around.discovery, relay = %around.relay, "configuration read again");
+                        steward.parties.moved(around);
+                        read_again = None;
+                    }
+                    Err(wrong) => {
+                        if !std::mem::replace(&mut told_of_config, true) {
+                            warn!(path = %path.display(), wrong, "configuration cannot be read, the last one holds");
+                        }
+                        read_again = Some(Instant::now() + AGAIN);
+                    }
+                }
+            }
+            () = sleep_until(tally_at) => {
+                steward.tell_tally();
+                tally_at = Instant::now() + TALLY_EVERY;
+            }
+            accepted = listener.accept(), if Instant::now() >= accept_from => match accepted {
+                Ok((stream, _)) => steward.clients.accept(stream),
+                Err(_) => accept_from = Instant::now() + ACCEPT_PAUSE,
+            },
+            () = sleep_until(accept_from), if Instant::now() < accept_from => {}
+        }
+    }
+    steward.tell_tally();
+    info!("ends");
+    Ok(())
+}
+
+async fn at(when: Option<Instant>) {
+    match when {
+        Some(when) => sleep_until(when).await,
+        None => std::future::pending().await,
+    }
+}
+
+struct Program {
+    clock: Clock,
+    core: Core,
+    parties: Parties,
+    probes: Probes,
+    clients: Clients,
+    words: mpsc::Receiver<Told>,
+    lines: Lines,
+    tally: Tally,
+    relay_up: bool,
+}
+
+impl Program {
+    fn start(config: Config) -> Program {
+        let clock = Clock::start();
+        let (say, words) = mpsc::channel(WORDS_MOST);
+        let version = config.known.as_ref().map(|known| known.generation);
+        let around = config.around;
+        let clients = config.sockets.saturating_sub(OWN_SOCKETS).clamp(16, CLIENTS_MOST);
+        info!(name = config.name, listen = %config.listen, discovery = %around.discovery, relay = %around.relay,
+            hosts = config.known.as_ref().map_or(0, |known| known.entries.len()), clients, "starts");
+        Program {
+            core: Core::open(config, clock.now()),
+            parties: Parties::start(around, version, say.clone()),
+            probes: Probes::new(say.clone()),
+            clients: Clients::new(clients, say),
+            clock,
+            words,
+            lines: Lines::new(),
+            tally: Tally::default(),
+            relay_up: false,
+        }
+    }
+
+    fn carry_out(&mut self) {
+        while let Some(output) = self.core.next_output(self.clock.now()) {
+            match output {
+                Output::Call { call, line } => {
+                    if let Err((call, _)) = self.parties.call((call, line)) {
+                        let ended = Input::CallEnded { call, end: CallEnd::Refused };
+                        self.core.handle(self.clock.now(), ended);
+                    }
+                }
+                Output::Probe { host, at } => self.probes.ask(host, at),
+                // The list is followed all the time.
+                Output::FollowList => {}
+            }
+        }
+    }
+
+    fn told(&mut self, (age, word): Told) {
+        if !self.parties.counts(age, &word) {
+            return;
+        }
+        let now = self.clock.now();
+        match word {
+            Word::Listed(listed) => self.core.handle(now, Input::Listed(listed)),
+            Word::ListLost(why) => {
+                self.say(|| warn!(why, "discovery lost"));
+                self.core.handle(now, Input::ListFailed);
+            }
+            Word::NewsBegan => {
+                self.say(|| info!("news begin"));
+                self.core.handle(now, Input::NewsBegan);
+            }
+            Word::News(news) => self.core.handle(now, Input::News(news)),
+            Word::NewsLost(why) => self.say(|| warn!(why, "news lost")),
+            Word::CallsUp | Word::CallsDown(_) => {
+                if let Word::CallsDown(why) = &word
+                    && why != "idle"
+                {
+                    self.say(|| warn!(why, "calls lost"));
+                }
+                let up = self.parties.can_call();
+                if up && !std::mem::replace(&mut self.relay_up, up) {
+                    self.say(|| info!("calls can be made"));
+                }
+                self.relay_up = up;
+                self.core.handle(now, Input::Relay { up });
+            }
+            Word::CallEnded { call, end, why } => {
+                if !why.is_empty() {
+                    self.say(|| warn!(call, why, "call not taken"));
+                }
+                self.core.handle(now, Input::CallEnded { call, end });
+            }
+            Word::Probed { host, good, load } => self.core.handle(now, Input::Probed { host, good, load }),
+            Word::Collector { client, site } => {
+                let zone = self.core.knows_zone(&site);
+                if zone.is_some() {
+                    self.say(|| info!(site, client, "collector"));
+                }
+                self.clients.joins(client, zone);
+            }
+            Word::Said(message) => self.core.handle(now, Input::Said(message)),
+            Word::Spoilt(why) => self.core.handle(now, Input::Spoilt(why)),
+            Word::ClientGone { client, why } => {
+                self.clients.end(client, why);
+            }
+        }
+    }
+
+    fn say(&mut self, line: impl FnOnce()) {
+        if self.lines.room() {
+            line();
+        }
+    }
+
+    fn tell_tally(&mut self) {
+        let tally = self.core.tally();
+        if *tally != self.tally {
+            let ended: &std::collections::BTreeMap<Gone, u64> = &self.clients.ended;
+            info!(members = self.core.joined(), clients = self.clients.open(), ?ended, ?tally, "so far");
+            self.tally = tally.clone();
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform-steward/src/core.rs
@@ -0,0 +1,285 @@
+//! Inputs to the module's calls, its rulings to outputs.
+
+use crate::members::{Came, Members};
+use crate::tally::Tally;
+use pondarch::Steward;
+use pondarch::types::*;
+use pondarch_job_ticket::Names;
+use pondarch_platform_wire::config::Config;
+use pondarch_platform_wire::registry::Listed;
+use pondarch_platform_wire::relay::{self, CALL_MOST, News};
+use pondarch_platform_wire::report::{Message, Spoilt};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+
+/// Bytes that one order can take, roughly, and orders of one table or bind by which the module may pass its mark: a
+/// round that it is told to keep below that fits into one call.
+const ORDER_BYTES: usize = 150;
+const OVERSHOOT: usize = 100;
+
+#[derive(Debug)]
+pub enum Input {
+    /// Nothing but that time has passed.
+    Clock,
+    Listed(Listed),
+    ListFailed,
+    /// A connection that brings news begins.
+    NewsBegan,
+    News(News),
+    /// Whether a call can be made now.
+    Relay {
+        up: bool,
+    },
+    CallEnded {
+        call: u64,
+        end: CallEnd,
+    },
+    /// A report, of a collector or host.
+    Said(Message),
+    /// A message of a collector that said nothing.
+    Spoilt(Spoilt),
+    Probed {
+        host: HostId,
+        good: bool,
+        load: Option<Load>,
+    },
+}
+
+/// How a call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallEnd {
+    Answered {
+        orders: u64,
+    },
+    /// It was surely not carried out.
+    Refused,
+    Unknown,
+}
+
+#[derive(Debug, PartialEq)]
+pub enum Output {
+    Call { call: u64, line: String },
+    Probe { host: HostId, at: SocketAddr },
+    FollowList,
+}
+
+pub struct Core {
+    steward: Steward,
+    names: Names,
+    proxies: u64,
+    members: Members,
+    at: BTreeMap<HostId, SocketAddr>,
+    relay_up: bool,
+    calls: u64,
+    under_way: Option<(u64, Vec<Ruling>)>,
+    /// A ruling that the last call had no room for.
+    held_back: Option<Ruling>,
+    wake: Option<Time>,
+    out: VecDeque<Output>,
+    tally: Tally,
+}
+
+impl Core {
+    pub fn open(config: Config, now: Time) -> Core {
+        let mut ticket = config.ticket;
+        ticket.orders_together = (CALL_MOST / ORDER_BYTES - OVERSHOOT) as u64;
+        let mut core = Core {
+            proxies: ticket.proxies,
+            steward: Steward::open(ticket, config.seed, now),
+            names: config.names,
+            members: Members::default(),
+            at: BTreeMap::new(),
+            relay_up: false,
+            calls: 0,
+            under_way: None,
+            held_back: None,
+            wake: None,
+            out: VecDeque::new(),
+            tally: Tally::default(),
+        };
+        if let Some(known) = config.known {
+            core.handle(now, Input::Listed(Listed { whole: true, ..known }));
+        }
+        core
+    }
+
+    pub fn handle(&mut self, now: Time, input: Input) {
+        if self.wake.take_if(|at| now >= *at).is_some() {
+            self.steward.woke(now);
+        }
+        match input {
+            Input::Clock => {}
+            Input::Listed(listed) => self.listed(now, listed),
+            Input::ListFailed => self.steward.list_failed(now),
+            Input::NewsBegan => self.members.listing_begins(),
+            Input::News(news) => self.news(now, news),
+            Input::Relay { up } => self.relay_up = up,
+            Input::CallEnded { call, end } => self.call_ended(now, call, end),
+            Input::Said(message) => {
+                let said = self.said(now, message);
+                said.unwrap_or_else(|why| self.tally.spoilt(why));
+            }
+            Input::Spoilt(why) => self.tally.spoilt(why),
+            Input::Probed { host, good, load } => {
+                self.tally.probes_good += u64::from(good);
+                self.steward.probe_answered(now, &host, good, load);
+            }
+        }
+    }
+
+    /// What is to be done now, one by one until there is nothing more.
+    pub fn next_output(&mut self, now: Time) -> Option<Output> {
+        if self.out.is_empty() {
+            self.pull(now);
+        }
+        self.out.pop_front()
+    }
+
+    /// When `handle` is due at the latest.
+    pub fn wake_at(&self) -> Option<Time> {
+        self.wake
+    }
+
+    pub fn tally(&self) -> &Tally {
+        &self.tally
+    }
+
+    pub fn joined(&self) -> usize {
+        self.members.len()
+    }
+
+    pub fn knows_zone(&self, site: &str) -> Option<ZoneId> {
+        self.names.known_zone(site)
+    }
+
+    fn listed(&mut self, now: Time, listed: Listed) {
+        self.tally.lists += 1;
+        if listed.whole {
+            self.at.clear();
+        }
+        for found in &listed.entries {
+            match found.at.filter(|_| found.standing != Standing::Gone) {
+                Some(at) => drop(self.at.insert(found.host.clone(), at)),
+                None => drop(self.at.remove(&found.host)),
+            }
+        }
+        let listings = listed.entries.iter().map(|found| found.listing(&mut self.names)).collect();
+        self.steward.list_came(now, listed.generation, listed.whole, listings);
+    }
+
+    fn news(&mut self, now: Time, news: News) {
+        match news {
+            News::Joined { proxy, site, usual, fresh } => {
+                let known = u64::from(proxy.0) < self.proxies;
+                let Some(zone) = self.names.known_zone(&site).filter(|_| known) else {
+                    return self.tally.spoilt(Spoilt::Wrong("site"));
+                };
+                match self.members.came(proxy, zone) {
+                    Came::Anew => {
+                        self.tally.joined += 1;
+                        self.steward.proxy_joined(now, proxy, fresh, usual, zone);
+                    }
+                    Came::PerhapsAnew => {
+                        self.tally.unsure += 1;
+                        self.steward.proxy_unsure(now, proxy);
+                    }
+                }
+            }
+            News::Left(proxy) => {
+                if self.members.left(proxy) {
+                    self.tally.left += 1;
+                    self.steward.proxy_left(now, proxy);
+                }
+            }
+            News::Ping => {
+                for proxy in self.members.listing_ends() {
+                    self.tally.left += 1;
+                    self.steward.proxy_left(now, proxy);
+                }
+            }
+            News::Other => {}
+        }
+    }
+
+    fn said(&mut self, now: Time, message: Message) -> Result<(), Spoilt> {
+        match message {
+            Message::Heard { site, host, met } => {
+                self.names.known_zone(&site).ok_or(Spoilt::Wrong("site"))?;
+                if !self.at.contains_key(&host) {
+                    return Err(Spoilt::Wrong("target"));
+                }
+                self.tally.with_load += u64::from(met.load.is_some_and(|load| load != Load::default()));
+                self.steward.met(now, &host, met);
+            }
+            Message::Usage { proxy, lane, many, over } => {
+                let kind = self.names.kind(&lane).ok_or(Spoilt::Wrong("lane"))?;
+                if !self.members.has(proxy) {
+                    return Err(Spoilt::Wrong("id"));
+                }
+                self.steward.reqs_came(now, proxy, KindId(kind), many, over);
+            }
+            Message::Ping | Message::Collector { .. } => return Ok(()),
+        }
+        self.tally.reports += 1;
+        Ok(())
+    }
+
+    fn call_ended(&mut self, now: Time, call: u64, end: CallEnd) {
+        let Some((_, orders)) = self.under_way.take_if(|(under_way, _)| *under_way == call) else { return };
+        let outcome = match end {
+            CallEnd::Answered { orders: taken } if taken == orders.len() as u64 => Outcome::Taken,
+            CallEnd::Answered { orders: taken } if taken < orders.len() as u64 => {
+                Outcome::Stopped(taken as usize)
+            }
+            // More than there were: the answer is spoilt.
+            CallEnd::Answered { .. } | CallEnd::Unknown => Outcome::Unknown,
+            CallEnd::Refused => Outcome::NotTaken,
+        };
+        match outcome {
+            Outcome::Taken => {}
+            Outcome::Stopped(_) => self.tally.stopped += 1,
+            Outcome::NotTaken => self.tally.not_taken += 1,
+            Outcome::Unknown => self.tally.unknown += 1,
+        }
+        self.steward.carried_out(now, &orders, outcome);
+    }
+
+    /// One round of the module's decisions is one call. They are pulled only while a call can be made, so that none
+    /// grows old on its way.
+    fn pull(&mut self, now: Time) {
+        if !self.relay_up || self.under_way.is_some() {
+            return;
+        }
+        let (mut orders, mut texts, mut bytes) = (Vec::new(), Vec::new(), 0);
+        while let Some(ruling) = self.held_back.take().or_else(|| self.steward.next(now)) {
+            match &ruling {
+                Ruling::WakeIn(span) => self.wake = Some(now + *span),
+                Ruling::FollowList => self.out.push_back(Output::FollowList),
+                Ruling::Probe(host) => {
+                    if let Some(&at) = self.at.get(host) {
+                        self.tally.probes += 1;
+                        self.out.push_back(Output::Probe { host: host.clone(), at });
+                    }
+                }
+                _ => {
+                    let Some(text) = relay::order(&ruling, self.names.kinds()) else { continue };
+                    if !relay::fits(bytes, &text) {
+                        self.held_back = Some(ruling);
+                        break;
+                    }
+                    bytes += text.len() + 1;
+                    texts.push(text);
+                    orders.push(ruling);
+                }
+            }
+        }
+        if orders.is_empty() {
+            return;
+        }
+        self.calls += 1;
+        self.tally.calls += 1;
+        self.tally.orders += orders.len() as u64;
+        self.out.push_back(Output::Call { call: self.calls, line: relay::call(self.calls, &texts) });
+        self.under_way = Some((self.calls, orders));
+    }
+}
--- a/crates/pondarch-benchlink/src/decode.rs
+++ b/crates/pondarch-benchlink/src/decode.rs
@@ -1,7 +1,7 @@
 //! From the wire's lines to the module's data.
 
 use pondarch::types::*;
-use serde_json::Value;
+use pondarch_job_ticket::{Names, note_load};
 use std::collections::BTreeMap;
 use std::str::FromStr;
 
@@ -109,51 +109,19 @@
             return Ok(None);
         }
         let mut load = Load::default();
-        for (value, field) in part.split(',').zip(&names.report_fields) {
+        for (value, field) in part.split(',').zip(names.report_fields()) {
             if value == "-" {
                 continue;
             }
             let value = value.parse::<f64>().ok().filter(|v| v.is_finite());
             let value =
                 value.ok_or_else(|| self.wrong("report", &format!("'{part}' is not a load report")))?;
-            match field.as_str() {
-                "busy" => load.busy = Some(value),
-                "q" => load.queue = Some(value),
-                "lat_ms" => load.service = Some(Span::from_micros((value.max(0.0) * 1e3) as u64)),
-                _ => {}
-            }
+            note_load(&mut load, field, value);
         }
         Ok(Some(load))
     }
 }
 
-/// Names that one steward's settings gave numbers to.
-#[derive(Default)]
-pub struct Names {
-    zones: Vec<String>,
-    machines: Vec<String>,
-    kinds: Vec<String>,
-    report_fields: Vec<String>,
-}
-
-impl Names {
-    pub fn zone(&mut self, name: &str) -> ZoneId {
-        ZoneId(number_of(&mut self.zones, name))
-    }
-
-    pub fn kind(&self, name: &str) -> Option<u8> {
-        self.kinds.iter().position(|kind| kind == name).map(|place| place as u8)
-    }
-}
-
-fn number_of(names: &mut Vec<String>, name: &str) -> u16 {
-    let place = names.iter().position(|held| held == name).unwrap_or_else(|| {
-        names.push(name.to_string());
-        names.len() - 1
-    });
-    place as u16
-}
-
 struct Entry {
     started: Time,
     host: HostId,
@@ -216,7 +184,7 @@
         let listing = |entry: &Entry| Listing {
             host: entry.host.clone(),
             zone: names.zone(&entry.zone),
-            machine: MachineId(number_of(&mut names.machines, &entry.machine)),
+            machine: names.machine(&entry.machine),
             cell: CellId(entry.cell),
             weight: entry.weight,
             started: entry.started,
@@ -225,73 +193,3 @@
         Ok(entries.iter().map(listing).collect())
     }
 }
-
-/// The settings of an ATTACH line. Unknown keys and values are passed over.
-pub fn ticket(text: &str) -> Result<(JobTicket, Names), String> {
-    let all: Value = serde_json::from_str(text).map_err(|e| format!("ATTACH: settings: {e}"))?;
-    if !all.is_object() {
-        return Err("ATTACH: settings: not an object".into());
-    }
-    let (family, rules, limits, report) =
-        (&all["familyInfo"], &all["obligations"], &all["limits"], &all["report"]);
-    let names = Names {
-        zones: strings(&all["localities"]),
-        machines: strings(&all["machineTypes"]),
-        kinds: all["classes"]
-            .as_array()
-            .map(|kinds| kinds.iter().map(|k| k["name"].as_str().unwrap_or("").to_string()).collect())
-            .unwrap_or_default(),
-        report_fields: if report["source"] == "off" { Vec::new() } else { strings(&report["fields"]) },
-    };
-    let kinds = all["classes"].as_array().map(Vec::as_slice).unwrap_or_default();
-    let own_zone = |k: usize| family["classOwnZone"][k].as_bool().unwrap_or(false);
-    let ticket = JobTicket {
-        kinds: kinds.iter().enumerate().map(|(k, kind)| kind_ticket(kind, own_zone(k))).collect(),
-        proxies: number(&family["proxies"]) as u64,
-        sliced: number(&family["partitionsN"]) > 0.0,
-        zones: names.zones.len() as u16,
-        base_tries: match family["baseMode"].as_u64() {
-            Some(0) => Some(Tries::Once),
-            Some(1) => Some(Tries::AgainIfNeverRun),
-            Some(2) => Some(Tries::AgainOnFailure),
-            Some(3) => Some(Tries::TwiceOnFailure),
-            _ => None,
-        },
-        admission: match family["admission"].as_str() {
-            Some("share") => Admission::Share,
-            Some("rate") => Admission::Rate,
-            _ => Admission::Off,
-        },
-        channel_rate: number(&family["channelRate"]),
-        most_waiting: number(&family["mostWaiting"]),
-        lines_per_message: number(&family["perMessage"]),
-        message_cap: number(&family["updateCap"]) as u64,
-        message_window: span(&family["updateWindow"]),
-        must_ask: all["discovery"] == "on_request",
-        ask_within: span(&rules["askWithin"]),
-        probes: limits["probes"].as_bool().unwrap_or(false),
-        report_every: span(&family["reportEvery"]),
-        start_capacity: number(&rules["startCapacity"]),
-        cold: span(&rules["cold"]),
-        crossing_price: number(&all["prices"]["crossZone"]),
-        gone_is_no_drain: rules["removalNotBinding"].as_bool().unwrap_or(false),
-    };
-    Ok((ticket, names))
-}
-
-fn kind_ticket(kind: &Value, own_zone: bool) -> KindTicket {
-    KindTicket { response_target: span(&kind["aim"]), benefit: number(&kind["worth"]), own_zone }
-}
-
-fn strings(list: &Value) -> Vec<String> {
-    let texts = |list: &Vec<Value>| list.iter().map(|v| v.as_str().unwrap_or("").to_string()).collect();
-    list.as_array().map(texts).unwrap_or_default()
-}
-
-fn number(value: &Value) -> f64 {
-    value.as_f64().filter(|v| v.is_finite() && *v > 0.0).unwrap_or(0.0)
-}
-
-fn span(value: &Value) -> Span {
-    Span::from_micros(number(value) as u64)
-}
--- a/crates/pondarch-benchlink/src/main.rs
+++ b/crates/pondarch-benchlink/src/main.rs
@@ -4,9 +4,10 @@
 mod decode;
 mod encode;
 
-use decode::{Lists, Names, Row};
+use decode::{Lists, Row};
 use pondarch::Steward;
 use pondarch::types::{KindId, ProxyId, Time};
+use pondarch_job_ticket::Names;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, BufRead, BufWriter, Write};
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -95,7 +96,10 @@
         match row.name() {
             "ATTACH" => {
                 let seed = row.whole("rngSeed")?;
-                let (ticket, names) = decode::ticket(row.rest("settings")?)?;
+                let settings = serde_json::from_str(row.rest("settings")?);
+                let settings = settings.map_err(|wrong| format!("ATTACH: settings: {wrong}"))?;
+                let (ticket, names) = pondarch_job_ticket::read(&settings)
+                    .map_err(|wrong| format!("ATTACH: settings: {wrong}"))?;
                 self.touched.insert(id);
                 self.failed = self.failed.take().filter(|(failed, _)| *failed != id);
                 self.instances.insert(id, Instance { steward: Steward::open(ticket, seed, self.now), names });
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -2,8 +2,8 @@
 //! whom to keep away from, how much to let in, and when to say so.
 //!
 //! How it is called: `Steward::open` with a `JobTicket`; then input methods (`list_*`, `proxy_*`, `met`,
-//! `reqs_came`, `probe_answered`, `woke`) that only note what is known; after each round of them
-//! `next` until it gives `None`. The types of both directions are in `types.rs`; nothing here knows a wire.
+//! `reqs_came`, `probe_answered`, `carried_out`, `woke`) that only note what is known; after each round of
+//! them `next` until it gives `None`. The types of both directions are in `types.rs`; nothing here knows a wire.
 
 use crate::types::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -60,6 +60,8 @@
 const SILENT_LAGS: f64 = 2.0;
 const FRESH_LAGS: f64 = 3.0;
 const ALIVE_LAGS: f64 = 4.0;
+/// Time after which a host that is gone, and stands in no table, is forgotten: late sums have come by then.
+const FORGET: Span = Span::from_millis(30_000);
 /// Part of the time within which a list on request must be asked for anew after a failure.
 const ASK_PART: f64 = 0.3;
 /// Part of the open hosts that health may keep away from at most: the rest must carry the day.
@@ -164,7 +166,8 @@
 
     /// The list or changes to it. On a complete list, whoever is missing is gone.
     pub fn list_came(&mut self, now: Time, version: u64, complete: bool, entries: Vec<Listing>) {
-        if self.version.is_some_and(|held| version < held) {
+        // Changes older than the list are none. A complete list counts: another source numbers otherwise.
+        if !complete && self.version.is_some_and(|held| version < held) {
             return;
         }
         (self.now, self.news, self.list_changed, self.version) = (now, true, true, Some(version));
@@ -209,7 +212,47 @@
         self.proxy_left(now, proxy);
         let usual = if usual.is_finite() && usual > 0.0 { usual } else { 0.0 };
         let rates = vec![0.0; self.levels.len()];
-        self.proxies.insert(proxy, Proxy { zone, rates, usual, fresh, table: None });
+        let proxy_of_ours = Proxy { zone, rates, usual, fresh, table: None, unsure: false, bind_from: now };
+        self.proxies.insert(proxy, proxy_of_ours);
+    }
+
+    /// It is joined, but may have been away unseen: what it was bound to may not stand.
+    pub fn proxy_unsure(&mut self, now: Time, proxy: ProxyId) {
+        (self.now, self.news) = (now, true);
+        self.proxies.entry(proxy).and_modify(|p| p.unsure = true);
+    }
+
+    /// What became of decisions that were carried out together. What may not stand is decided anew: at once
+    /// if some went through, else with the next beat, lest orders that nobody takes run in circles.
+    pub fn carried_out(&mut self, now: Time, orders: &[Ruling], outcome: Outcome) {
+        self.now = now;
+        let (stood, refused) = match outcome {
+            Outcome::Taken => (orders.len(), None),
+            Outcome::Stopped(stood) => (stood.min(orders.len()), orders.get(stood)),
+            Outcome::NotTaken | Outcome::Unknown => (0, None),
+        };
+        let rest = &orders[stood + usize::from(refused.is_some())..];
+        self.news |= stood > 0 || refused.is_some();
+        self.urgent |= !rest.is_empty() && self.news;
+        // A proxy that cannot be bound has most likely left, and we shall hear of it.
+        if let Some(Ruling::Bind { proxy, .. }) = refused {
+            self.proxies.entry(*proxy).and_modify(|p| (p.unsure, p.bind_from) = (true, now + BACK));
+        }
+        for order in rest {
+            match order {
+                Ruling::Deal { table, host, .. } => {
+                    let host = self.place_of.get(host).map(|&place| &mut self.hosts[place]);
+                    host.into_iter().for_each(|host| host.place(table.0 as usize).unsure = true);
+                }
+                Ruling::Bind { proxy, .. } => {
+                    self.proxies.entry(*proxy).and_modify(|p| p.unsure = true);
+                }
+                Ruling::Level { table, kind, .. } => {
+                    self.boards[table.0 as usize].levels_sent[kind.0 as usize] = None;
+                }
+                Ruling::Probe(_) | Ruling::FollowList | Ruling::WakeIn(_) => {}
+            }
+        }
     }
 
     pub fn proxy_left(&mut self, now: Time, proxy: ProxyId) {
@@ -261,8 +304,8 @@
         }
     }
 
-    /// The part of all reqs that a plan says the fleet can do in time; none: no plan is in force. It is evidence: while
-    /// nothing is strained, what is let in rises fast up to there. It cuts nothing, and strain goes before it.
+    /// The part of all reqs that a plan says the fleet can do in time; none: no plan is in force. It is evidence:
+    /// while nothing is strained, what is let in rises fast up to there. It cuts nothing; strain goes before it.
     pub fn plan_came(&mut self, now: Time, part: Option<f64>) {
         (self.now, self.planned) = (now, part.filter(|part| (0.0..=1.0).contains(part)));
     }
@@ -293,6 +336,7 @@
             self.out.push_back(Ruling::WakeIn(BEAT.times(0.9 + 0.2 * self.chance.f64())));
             let passed = (self.now - self.last_beat).secs();
             self.last_beat = self.now;
+            self.forget();
             self.ease(passed);
             self.set_levels(passed);
         }
@@ -304,6 +348,27 @@
         self.bind_joined();
     }
 
+    /// Ids of hosts change for good: those long gone, which owe nothing, would be kept for ever.
+    fn forget(&mut self) {
+        let now = self.now;
+        let old = |h: &Host| h.standing == Standing::Gone && now - h.heard > FORGET;
+        for host in self.hosts.iter_mut().filter(|h| old(h)) {
+            for place in host.places.iter_mut().filter(|p| p.held() && self.boards[p.table].bound == 0) {
+                // Nobody uses the table: this costs no line.
+                (place.sent, place.unsure) = (0.0, false);
+                let (table, host) = (TableId(place.table as u16), host.id.clone());
+                self.out.push_back(Ruling::Deal { table, host, weight: None });
+            }
+            host.places.retain(Place::held);
+        }
+        let (held, keeps) = (self.hosts.len(), |h: &Host| !old(h) || !h.places.is_empty());
+        self.hosts.retain(keeps);
+        if self.hosts.len() < held {
+            self.place_of = self.hosts.iter().enumerate().map(|(at, host)| (host.id.clone(), at)).collect();
+            self.list_changed = true;
+        }
+    }
+
     /// Keeps away from hosts that fail or are silent where their peers are not, and lets them come back.
     fn judge(&mut self) {
         let now = self.now;
@@ -511,7 +576,7 @@
         for (h, table, want) in wants {
             self.hosts[h].place(table).want = (want * 1e3).round().max(1.0) / 1e3;
         }
-        self.hosts.iter_mut().for_each(|h| h.places.retain(|p| p.want > 0.0 || p.sent > 0.0));
+        self.hosts.iter_mut().for_each(|h| h.places.retain(|p| p.want > 0.0 || p.held()));
     }
 
     /// The seeded draw: the same at every steward that has as many tables, since only the list goes in. If no
@@ -612,14 +677,14 @@
                 let heavy = place.sent > place.want * HAZARD;
                 // Not to be put off: a failing host, or a cold one whose line is still the warm one's.
                 let why = match place {
-                    p if p.sent > 0.0 && !open => Need::Drain,
-                    p if p.sent > 0.0 && !usable || cold && heavy => Need::Hazard,
-                    p if p.want > 0.0 && heavy => Need::Jam,
+                    p if p.held() && !open => Need::Drain,
+                    p if p.held() && !usable || cold && (heavy || p.unsure) => Need::Hazard,
+                    p if p.want > 0.0 && heavy || p.unsure => Need::Jam,
                     p if off(p) => Need::Ordinary,
                     _ => Need::Nothing,
                 };
                 need[place.table] = need[place.table].max(why);
-                serves[place.table] |= usable && place.sent > 0.0;
+                serves[place.table] |= usable && place.sent > 0.0 && !place.unsure;
             }
         }
         let mut go: Vec<usize> = (0..self.boards.len()).filter(|&t| self.boards[t].bound > 0).collect();
@@ -637,6 +702,11 @@
         }
         go.sort_by_key(|&t| (std::cmp::Reverse(need[t]), self.boards[t].differs_since));
         for t in go {
+            // The rest goes out once this is carried out.
+            if self.out.len() >= self.ready.round_most {
+                self.urgent = true;
+                break;
+            }
             let board = &self.boards[t];
             let gathered = |least: Span| board.differs_since.is_some_and(|since| now - since >= least);
             let (used, cap) = (board.messages.len() + 1, self.ready.cap); // the bind was one too
@@ -660,7 +730,7 @@
         let (now, table, mut lines) = (self.now, TableId(t as u16), 0.0);
         for host in &mut self.hosts {
             for place in host.places.iter_mut().filter(|p| p.table == t && off(p)) {
-                place.sent = place.want;
+                (place.sent, place.unsure) = (place.want, false);
                 lines += 1.0;
                 let weight = (place.want > 0.0).then_some(place.want);
                 self.out.push_back(Ruling::Deal { table, host: host.id.clone(), weight });
@@ -687,14 +757,25 @@
 
     /// A joined proxy is answered at once: its standing table may name hosts that are gone or cold.
     fn bind_joined(&mut self) {
-        let unbound = self.proxies.iter().filter(|(_, proxy)| proxy.table.is_none());
+        let due = |p: &Proxy| (p.table.is_none() || p.unsure) && self.now >= p.bind_from;
+        let unbound = self.proxies.iter().filter(|(_, proxy)| due(proxy));
         let mut unbound: Vec<ProxyId> = unbound.map(|(&id, _)| id).collect();
+        let mut again = BTreeSet::new();
         // The heaviest first, so that the light ones even out.
         unbound.sort_by(|a, b| self.proxies[b].rate().total_cmp(&self.proxies[a].rate()));
         for id in unbound {
-            let (table, zone) = (self.choose_table(id), self.proxies[&id].zone);
-            self.proxies.entry(id).and_modify(|proxy| proxy.table = Some(table));
+            if self.out.len() >= self.ready.round_most {
+                break;
+            }
+            let (bound_to, zone) = (self.proxies[&id].table, self.proxies[&id].zone);
+            let table = bound_to.unwrap_or_else(|| self.choose_table(id));
+            self.proxies.entry(id).and_modify(|p| (p.table, p.unsure) = (Some(table), false));
             for t in self.ready.tables_of(table, zone) {
+                if bound_to.is_some() {
+                    // One message more to whoever did hold it, counted once for all of this round.
+                    again.insert(t);
+                    continue;
+                }
                 // What nobody held may be old.
                 if self.boards[t].bound == 0 {
                     self.send_table(t);
@@ -710,6 +791,7 @@
             let lines = self.hosts.iter().filter(|h| h.holds(table)).count() + self.levels.len() + 1;
             self.waiting += self.ready.head + lines as f64;
         }
+        again.into_iter().for_each(|t| self.boards[t].messages.push_back(self.now));
     }
 }
 
@@ -750,7 +832,8 @@
 }
 
 fn off(place: &Place) -> bool {
-    (place.want > 0.0) != (place.sent > 0.0) || (place.want - place.sent).abs() > LINE_STEP * place.sent
+    let step = (place.want - place.sent).abs() > LINE_STEP * place.sent;
+    place.unsure || step || (place.want > 0.0) != (place.sent > 0.0)
 }
 
 impl Shards {
--- a/src/types.rs
+++ b/src/types.rs
@@ -118,6 +118,8 @@
     pub cold: Span,
     pub gone_is_no_drain: bool,
     pub crossing_price: f64,
+    /// Orders that the surroundings can carry out together; 0: any number.
+    pub orders_together: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -209,6 +211,17 @@
     WakeIn(Span),
 }
 
+/// What became of orders that were to be carried out together, in their order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Taken,
+    /// So many stand; the next one could not be used, and those after it were not looked at.
+    Stopped(usize),
+    NotTaken,
+    /// All stand, or none.
+    Unknown,
+}
+
 // What a steward keeps: records, and how to find things in them.
 
 /// What the job ticket comes to: only figures that decisions use.
@@ -228,6 +241,7 @@
     pub(crate) cap: usize,
     pub(crate) window: Span,
     pub(crate) gather: Span,
+    pub(crate) round_most: usize,
     pub(crate) ask_again: Option<Span>,
     pub(crate) probes: bool,
     pub(crate) report_every: Span,
@@ -237,12 +251,13 @@
     pub(crate) zones_cost: bool,
 }
 
-/// A host's weight in one table: what it should be, and what was last sent.
+/// A host's weight in one table: what it should be, what was last sent, and whether that may not stand.
 #[derive(Clone, Copy, Default)]
 pub(crate) struct Place {
     pub(crate) table: usize,
     pub(crate) want: f64,
     pub(crate) sent: f64,
+    pub(crate) unsure: bool,
 }
 
 /// All that is known of one host.
@@ -275,6 +290,9 @@
     pub(crate) usual: f64,
     pub(crate) fresh: bool,
     pub(crate) table: Option<usize>,
+    /// What it is bound to may not stand.
+    pub(crate) unsure: bool,
+    pub(crate) bind_from: Time,
 }
 
 /// What is known of the users of one table.
@@ -315,7 +333,7 @@
             (0..kinds.len()).filter(|&k| kinds[k].own_zone == own).map(|k| KindId(k as u8)).collect()
         };
         let confined = of_zone(true);
-        let cap = if ticket.message_cap == 0 { usize::MAX } else { ticket.message_cap as usize };
+        let or_any = |most: u64| if most == 0 { usize::MAX } else { most as usize };
         Makeready {
             sliced: ticket.sliced,
             least_benefit_first,
@@ -326,7 +344,8 @@
             by_rate: ticket.admission == Admission::Rate,
             most_waiting: ticket.most_waiting,
             head: ticket.lines_per_message,
-            cap,
+            cap: or_any(ticket.message_cap),
+            round_most: or_any(ticket.orders_together),
             window: ticket.message_window,
             probes: ticket.probes,
             report_every: ticket.report_every,
@@ -354,6 +373,13 @@
     }
 }
 
+impl Place {
+    /// Whether proxies may have it as a line.
+    pub(crate) fn held(&self) -> bool {
+        self.sent > 0.0 || self.unsure
+    }
+}
+
 impl Host {
     /// Whether it was last sent as a line of this table.
     pub(crate) fn holds(&self, table: usize) -> bool {
