Spans without reqs count in a proxy's rate: demand was believed twice what came

Checked: tries on the sockets against usage lines; usage comes only for spans with reqs, so a proxy with 0.2 reqs/s of a kind was taken for 1. Ruled out: double counting of proxies (members 202 of 240), spoilt reports (none). At fault: Steward::reqs_came, which took each line's own span alone.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -212,9 +212,9 @@
     pub fn proxy_joined(&mut self, now: Time, proxy: ProxyId, fresh: bool, usual: f64, zone: ZoneId) {
         self.proxy_left(now, proxy);
         let usual = if usual.is_finite() && usual > 0.0 { usual } else { 0.0 };
-        let rates = vec![0.0; self.levels.len()];
-        let proxy_of_ours = Proxy { zone, rates, usual, fresh, table: None, unsure: false, bind_from: now };
-        self.proxies.insert(proxy, proxy_of_ours);
+        let (rates, heard) = (vec![0.0; self.levels.len()], vec![now; self.levels.len()]);
+        let joined = Proxy { zone, rates, heard, usual, fresh, table: None, unsure: false, bind_from: now };
+        self.proxies.insert(proxy, joined);
     }
 
     /// It is joined, but may have been away unseen: what it was bound to may not stand.
@@ -290,9 +290,17 @@
 
     pub fn reqs_came(&mut self, now: Time, proxy: ProxyId, kind: KindId, many: f64, over: Span) {
         self.now = now;
-        let rate = self.proxies.get_mut(&proxy).and_then(|p| p.rates.get_mut(kind.0 as usize));
-        if let Some(rate) = rate.filter(|_| over > Span::ZERO && many.is_finite()) {
-            *rate = mix(*rate, many / over.secs(), over.say_in(LOAD_OVER));
+        let Some(proxy) = self.proxies.get_mut(&proxy) else { return };
+        let (Some(rate), Some(heard)) =
+            (proxy.rates.get_mut(kind.0 as usize), proxy.heard.get_mut(kind.0 as usize))
+        else {
+            return;
+        };
+        if over > Span::ZERO && many.is_finite() {
+            // Spans in which none came bring no line: taken for themselves, the lines of a proxy that has few
+            // reqs tell of several times as many.
+            let over = over.max(now - *heard);
+            (*rate, *heard) = (mix(*rate, many / over.secs(), over.say_in(LOAD_OVER)), now);
         }
     }
 
--- a/src/types.rs
+++ b/src/types.rs
@@ -302,6 +302,8 @@
 pub(crate) struct Proxy {
     pub(crate) zone: ZoneId,
     pub(crate) rates: Vec<f64>,
+    /// When reqs of each kind were last heard of.
+    pub(crate) heard: Vec<Time>,
     pub(crate) usual: f64,
     pub(crate) fresh: bool,
     pub(crate) table: Option<usize>,
