--- a/crates/platform-steward/src/core.rs
+++ b/crates/platform-steward/src/core.rs
@@ -214,6 +214,7 @@
                     return Err(Spoilt::Wrong("target"));
                 }
                 self.tally.with_load += u64::from(met.load.is_some_and(|load| load != Load::default()));
+                self.tally.tries += met.tries as u64;
                 self.steward.met(now, &host, met);
             }
             Message::Usage { proxy, lane, many, over } => {
@@ -221,6 +222,7 @@
                 if !self.members.has(proxy) {
                     return Err(Spoilt::Wrong("id"));
                 }
+                self.tally.reqs += many as u64;
                 self.steward.reqs_came(now, proxy, KindId(kind), many, over);
             }
             Message::Ping | Message::Collector { .. } => return Ok(()),
--- a/crates/platform-steward/src/members.rs
+++ b/crates/platform-steward/src/members.rs
@@ -37,7 +37,7 @@
         }
         let missing: Vec<ProxyId> =
             self.joined.iter().filter(|(_, member)| !member.named).map(|(id, _)| *id).collect();
-        missing.iter().for_each(|id| drop(self.joined.remove(id)));
+        self.joined.retain(|_, member| member.named);
         missing
     }
 
--- a/crates/platform-steward/src/tally.rs
+++ b/crates/platform-steward/src/tally.rs
@@ -15,6 +15,9 @@
     pub not_taken: u64,
     pub unknown: u64,
     pub reports: u64,
+    /// Tries and reqs that these told of.
+    pub tries: u64,
+    pub reqs: u64,
     pub with_load: u64,
     pub probes: u64,
     pub probes_good: u64,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -49,6 +49,8 @@
 const LAG_SAY: f64 = 0.02;
 const TALLY_HALF: Span = Span::from_millis(2_000);
 const LOAD_OVER: Span = Span::from_millis(3_000);
+const RATE_OVER: Span = Span::from_millis(5_000);
+const LEAST_RATE: f64 = 1e-3;
 const TIME_OVER: Span = Span::from_millis(1_200);
 /// Tries before a host is judged, lest a stray failure decides; part of the room above the fleet's median
 /// share of failures from which it is kept away from: what merely limps is eased.
@@ -117,6 +119,8 @@
     drawn: Vec<Table>,
     first_line: Option<Time>,
     newest_line: Time,
+    newest_reqs: Time,
+    faded_at: Time,
     lag: f64,
     levels: Vec<f64>,
     let_in: Option<f64>,
@@ -155,6 +159,7 @@
             boards: vec![board; ready.all_tables()],
             lag: ready.report_every.secs(),
             last_beat: now,
+            faded_at: now,
             woken: true,
             news: true,
             follow_at: ready.ask_again.map(|_| now),
@@ -212,8 +217,12 @@
     pub fn proxy_joined(&mut self, now: Time, proxy: ProxyId, fresh: bool, usual: f64, zone: ZoneId) {
         self.proxy_left(now, proxy);
         let usual = if usual.is_finite() && usual > 0.0 { usual } else { 0.0 };
-        let (rates, heard) = (vec![0.0; self.levels.len()], vec![now; self.levels.len()]);
-        let joined = Proxy { zone, rates, heard, usual, fresh, table: None, unsure: false, bind_from: now };
+        // Until its reqs are heard of, it is taken to have its usual ones, of the kinds that others have.
+        let of_kind = |k: usize| self.proxies.values().map(|p| p.rates[k]).sum::<f64>() + LEAST_RATE;
+        let came: Vec<f64> = (0..self.levels.len()).map(of_kind).collect();
+        let all: f64 = came.iter().sum();
+        let rates = came.iter().map(|rate| usual * rate / all).collect();
+        let joined = Proxy { zone, rates, fresh, table: None, unsure: false, bind_from: now };
         self.proxies.insert(proxy, joined);
     }
 
@@ -290,17 +299,10 @@
 
     pub fn reqs_came(&mut self, now: Time, proxy: ProxyId, kind: KindId, many: f64, over: Span) {
         self.now = now;
-        let Some(proxy) = self.proxies.get_mut(&proxy) else { return };
-        let (Some(rate), Some(heard)) =
-            (proxy.rates.get_mut(kind.0 as usize), proxy.heard.get_mut(kind.0 as usize))
-        else {
-            return;
-        };
-        if over > Span::ZERO && many.is_finite() {
-            // Spans in which none came bring no line: taken for themselves, the lines of a proxy that has few
-            // reqs tell of several times as many.
-            let over = over.max(now - *heard);
-            (*rate, *heard) = (mix(*rate, many / over.secs(), over.say_in(LOAD_OVER)), now);
+        let rate = self.proxies.get_mut(&proxy).and_then(|p| p.rates.get_mut(kind.0 as usize));
+        if let Some(rate) = rate.filter(|_| over > Span::ZERO && many.is_finite()) {
+            *rate += many / RATE_OVER.secs();
+            self.newest_reqs = now;
         }
     }
 
@@ -366,6 +368,7 @@
             let passed = (self.now - self.last_beat).secs();
             self.last_beat = self.now;
             self.forget();
+            self.fade_rates();
             self.ease(passed);
             self.set_levels(passed);
         }
@@ -377,6 +380,14 @@
         self.bind_joined();
     }
 
+    /// Reqs that came lose their say. Spans in which none came bring no line: rates that went by the lines' own spans
+    /// told of several times the reqs of a proxy that has few. Where no line comes at all, nothing fades.
+    fn fade_rates(&mut self) {
+        let fade = 1.0 - (self.newest_reqs - self.faded_at).say_in(RATE_OVER);
+        self.faded_at = self.faded_at.max(self.newest_reqs);
+        self.proxies.values_mut().flat_map(|p| &mut p.rates).for_each(|rate| *rate *= fade);
+    }
+
     /// Ids of hosts change for good: those long gone, which owe nothing, would be kept for ever.
     fn forget(&mut self) {
         let now = self.now;
--- a/src/types.rs
+++ b/src/types.rs
@@ -302,9 +302,6 @@
 pub(crate) struct Proxy {
     pub(crate) zone: ZoneId,
     pub(crate) rates: Vec<f64>,
-    /// When reqs of each kind were last heard of.
-    pub(crate) heard: Vec<Time>,
-    pub(crate) usual: f64,
     pub(crate) fresh: bool,
     pub(crate) table: Option<usize>,
     /// What it is bound to may not stand.
@@ -414,8 +411,7 @@
 
 impl Proxy {
     pub(crate) fn rate(&self) -> f64 {
-        let seen: f64 = self.rates.iter().sum();
-        if seen > 0.0 { seen } else { self.usual }
+        self.rates.iter().sum()
     }
 }
 
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -463,7 +463,28 @@
     shop.list(false, vec![odd]);
     shop.met(77, 3.0, 9.0, 0);
     shop.steward.reqs_came(shop.time(), ProxyId(9), KindId(200), f64::INFINITY, Span::ZERO);
-    shop.steward.list_came(shop.time(), 0, true, Vec::new());
+    shop.list(false, vec![listing(0, Standing::Open, Time::default())]);
+    shop.steward.list_came(shop.time(), 0, false, vec![listing(0, Standing::Gone, Time::default())]);
     shop.run(3 * SECOND / 1_000, |shop| shop.met(0, 5.0, 50.0, 100));
     assert_eq!(shop.hosts_of(TableId(0)).len(), 1);
 }
+
+/// Spans without reqs bring no line: 0.2 reqs a second were taken for one, and levels cut for what never came.
+#[test]
+fn few_reqs_are_not_taken_for_many() {
+    let mut shop = shop_of(ticket(8));
+    let mut second = 0;
+    shop.run(60_000, |shop| {
+        second += 1;
+        let came = |n: u16| (n + second).is_multiple_of(5);
+        let now = shop.time();
+        (0..8)
+            .filter(|&n| came(n))
+            .for_each(|n| shop.steward.reqs_came(now, ProxyId(n), KindId(0), 1.0, ms(1_000)));
+    });
+    let believed = shop.steward.glance().demand;
+    assert!((believed - 1.6).abs() < 0.3, "8 proxies with 0.2 reqs a second are taken for {believed}");
+    // Where no line comes at all, that is no word of any req.
+    shop.run(30_000, |_| {});
+    assert!(shop.steward.glance().demand > 1.3);
+}
