What is let in goes with who is joined; two failing tries judge a host

Checked: beliefs by host in the log; membership and reports were right; probes of those hosts were good. At fault: set_levels held let_in in reqs/s whoever was joined; TRIES_LEAST 4 with 1.6 tries/s a host; BACK the same each time.

--- a/crates/platform-edge/src/program.rs
+++ b/crates/platform-edge/src/program.rs
@@ -227,6 +227,12 @@
             kept_out = ids(&glance.kept_out),
             on_trial = ids(&glance.on_trial),
             eased = ids(&glance.eased),
+            errored = glance
+                .errored
+                .iter()
+                .map(|(host, tries, share)| format!("{}:{share:.2}of{tries:.1}", host.0))
+                .collect::<Vec<_>>()
+                .join(","),
             levels = ?glance.levels,
             strain = format!("{:.2}", glance.strain),
             lag_ms = glance.lag.as_micros() / 1_000,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -54,7 +54,7 @@
 const TIME_OVER: Span = Span::from_millis(1_200);
 /// Tries before a host is judged, lest a stray failure decides; part of the room above the fleet's median
 /// share of failures from which it is kept away from: what merely limps is eased.
-const TRIES_LEAST: f64 = 4.0;
+const TRIES_LEAST: f64 = 2.0;
 const FAILING_OVER: f64 = 0.75;
 /// Ended tries expected of a host, none of which came, that make it silent (e^-7 is no chance), after this
 /// many times the lag; lags for which a host's sums count as evidence of strain; as a sign of life.
@@ -72,6 +72,7 @@
 /// weight; reqs waiting, over twice the median, with which a probe's good answer counts for nothing; part of
 /// its work from which a member needs no stand-in.
 const BACK: Span = Span::from_millis(1_500);
+const OUTS_MOST: u32 = 4;
 const TRIAL_PART: f64 = 0.2;
 const QUEUE_OVER: f64 = 4.0;
 const STAND_IN_UNTIL: f64 = 0.5;
@@ -223,7 +224,26 @@
         let all: f64 = came.iter().sum();
         let rates = came.iter().map(|rate| usual * rate / all).collect();
         let joined = Proxy { zone, rates, fresh, table: None, unsure: false, bind_from: now };
+        let before = self.demand();
         self.proxies.insert(proxy, joined);
+        self.joined_changed(before);
+    }
+
+    /// What is let in, and the most ever done, were of the proxies joined then. Held fast while those of a
+    /// steward that restarts come over, they would have twice the reqs refused.
+    fn joined_changed(&mut self, before: f64) {
+        let part = self.demand() / before;
+        if part.is_normal() {
+            self.let_in = self.let_in.map(|let_in| let_in * part);
+            self.peak_per_weight *= part;
+        } else {
+            (self.let_in, self.peak_per_weight) = (None, 0.0);
+        }
+    }
+
+    /// Reqs a second of our proxies.
+    fn demand(&self) -> f64 {
+        self.proxies.values().map(Proxy::rate).sum()
     }
 
     /// It is joined, but may have been away unseen: what it was bound to may not stand.
@@ -269,7 +289,10 @@
 
     pub fn proxy_left(&mut self, now: Time, proxy: ProxyId) {
         (self.now, self.news) = (now, true);
-        if let Some((table, zone)) = self.proxies.remove(&proxy).and_then(|p| Some((p.table?, p.zone))) {
+        let before = self.demand();
+        let Some(left) = self.proxies.remove(&proxy) else { return };
+        self.joined_changed(before);
+        if let Some((table, zone)) = left.table.map(|table| (table, left.zone)) {
             self.ready.tables_of(table, zone).for_each(|t| self.boards[t].bound -= 1);
         }
     }
@@ -337,10 +360,13 @@
             kept_out: named(&|h| h.out_until.is_some()),
             on_trial: named(&|h| h.trial_since.is_some()),
             eased: named(&|h| h.eased > 1.0 - STAND_IN_UNTIL),
+            errored: (self.hosts.iter().filter(|h| h.errored > 0.3))
+                .map(|h| (h.id.clone(), h.tries, h.errored / h.tries))
+                .collect(),
             levels: self.levels.clone(),
             strain: self.strain,
             lag: Span::from_micros((self.lag * 1e6) as u64),
-            demand: self.proxies.values().flat_map(|p| &p.rates).sum(),
+            demand: self.demand(),
             flow: self.flow(self.hosts.iter()),
         }
     }
@@ -447,11 +473,15 @@
                 }
             } else if bad {
                 *warm_left -= usize::from(self.ready.ramp(host, now) >= 1.0);
-                (host.out_until, host.trial_since) =
-                    (Some(now + BACK.times(0.8 + 0.4 * self.chance.f64())), None);
+                // One that answers looks but fails reqs would be back, and failing, most of the time.
+                host.outs = (host.outs + 1).min(OUTS_MOST);
+                let wait = BACK.times((0.8 + 0.4 * self.chance.f64()) * f64::from(1 << (host.outs - 1)));
+                (host.out_until, host.trial_since) = (Some(now + wait), None);
                 spare -= 1;
             } else if host.trial_since.is_some_and(|at| now - at > BACK.times(2.0)) {
                 host.trial_since = None;
+            } else if host.trial_since.is_none() && !fails && host.failing().is_some() {
+                host.outs = 0;
             }
         }
     }
--- a/src/types.rs
+++ b/src/types.rs
@@ -230,6 +230,8 @@
     pub kept_out: Vec<HostId>,
     pub on_trial: Vec<HostId>,
     pub eased: Vec<HostId>,
+    /// Hosts of whose tries some errored: those tallied, and the share that errored.
+    pub errored: Vec<(HostId, f64, f64)>,
     pub levels: Vec<f64>,
     pub strain: f64,
     pub lag: Span,
@@ -288,6 +290,8 @@
     pub(crate) drained: bool,
     pub(crate) out_until: Option<Time>,
     pub(crate) trial_since: Option<Time>,
+    /// Times kept away from, one after another.
+    pub(crate) outs: u32,
     pub(crate) tries: f64,
     pub(crate) errored: f64,
     pub(crate) heard: Time,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -488,3 +488,49 @@
     shop.run(30_000, |_| {});
     assert!(shop.steward.glance().demand > 1.3);
 }
+
+/// Held fast while the proxies of a steward that restarts came over, what was let in had half of all reqs refused.
+#[test]
+fn what_is_let_in_goes_with_who_is_joined() {
+    let mut shop = Shop::open(ticket(16), 12);
+    (0..8).for_each(|n| shop.join(n, false, 3.0));
+    let reqs = |shop: &mut Shop, of: std::ops::Range<u16>| {
+        let now = shop.time();
+        of.for_each(|n| shop.steward.reqs_came(now, ProxyId(n), KindId(0), 3.0, ms(1_000)));
+    };
+    shop.run(20_000, |shop| {
+        (0..12).for_each(|n| shop.met(n, 2.0, 0.0, 300));
+        reqs(shop, 0..8);
+    });
+    shop.run(4_000, |shop| {
+        (0..12).for_each(|n| shop.met(n, 2.0, 0.0, 900));
+        reqs(shop, 0..8);
+    });
+    let level = shop.steward.glance().levels[0];
+    assert!(level < 0.95, "the strain was seen: {level}");
+    (8..16).for_each(|n| shop.join(n, false, 3.0));
+    shop.run(1_000, |shop| reqs(shop, 0..16));
+    let after = shop.steward.glance().levels[0];
+    // One more cut may have come; twice the proxies with no more let in would be half of it.
+    assert!(after > level * 0.75, "{level} was let in, then {after}");
+}
+
+/// A host that answers looks but fails its reqs was tried again every few seconds, at full weight.
+#[test]
+fn who_fails_again_is_kept_out_for_longer() {
+    let mut shop = shop_of(JobTicket { probes: true, ..ticket(8) });
+    let (mut used, mut seconds) = (0, 0);
+    shop.run(60_000, |shop| {
+        for asked in std::mem::take(&mut shop.probes) {
+            shop.steward.probe_answered(shop.time(), &asked, true, None);
+        }
+        let out = shop.is_out(0);
+        (used, seconds) = (used + u32::from(!out), seconds + 1);
+        // Few tries: two that failed are enough.
+        (1..12).for_each(|n| shop.met(n, 1.5, 0.0, 200));
+        if !out {
+            shop.met(0, 1.5, 1.5, 0);
+        }
+    });
+    assert!(seconds == 60 && used < 20, "a failing host was used in {used} of {seconds} seconds");
+}
