The first sums after a start cut nothing

Checked by the log of n0: restarted at 17 s, its first sums told of 11.8 tries/s beside a demand of 67 taken from usual rates; levels went to [0, 0.9, 0]. Ruled out: membership (right), the other steward (levels 0.7). At fault: set_levels, which cut to a peak of a moment. A cut now waits CUT_WAIT from the first sums on.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -3,7 +3,7 @@
 //!
 //! How it is called: `Steward::open` with a `JobTicket`; then input methods (`list_*`, `proxy_*`, `met`,
 //! `reqs_came`, `probe_answered`, `carried_out`, `woke`) that only note what is known; after each round of
-//! them `next` until it gives `None`. The types of both directions are in `types.rs`; nothing here knows a wire.
+//! them `next` until it gives `None`. The types of both directions are in `types.rs`; it knows no wire.
 
 use crate::types::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -223,9 +223,8 @@
         let came: Vec<f64> = (0..self.levels.len()).map(of_kind).collect();
         let all: f64 = came.iter().sum();
         let rates = came.iter().map(|rate| usual * rate / all).collect();
-        let joined = Proxy { zone, rates, fresh, table: None, unsure: false, bind_from: now };
         let before = self.demand();
-        self.proxies.insert(proxy, joined);
+        self.proxies.insert(proxy, Proxy { zone, rates, fresh, table: None, unsure: false, bind_from: now });
         self.joined_changed(before);
     }
 
@@ -340,8 +339,8 @@
         }
     }
 
-    /// The part of all reqs that a plan says the fleet can do in time; none: no plan is in force. It is evidence:
-    /// while nothing is strained, what is let in rises fast up to there. It cuts nothing; strain goes before it.
+    /// The part of all reqs that a plan says the fleet can do in time; none: no plan is in force. While
+    /// nothing is strained, what is let in rises fast up to there. It cuts nothing; strain goes before it.
     pub fn plan_came(&mut self, now: Time, part: Option<f64>) {
         (self.now, self.planned) = (now, part.filter(|part| (0.0..=1.0).contains(part)));
     }
@@ -406,7 +405,7 @@
         self.bind_joined();
     }
 
-    /// Reqs that came lose their say. Spans in which none came bring no line: rates that went by the lines' own spans
+    /// Reqs that came lose their say. Spans in which none came bring no line: rates by the lines' own spans
     /// told of several times the reqs of a proxy that has few. Where no line comes at all, nothing fades.
     fn fade_rates(&mut self) {
         let fade = 1.0 - (self.newest_reqs - self.faded_at).say_in(RATE_OVER);
@@ -546,7 +545,9 @@
         let target = came.iter().zip(&self.ready.targets).map(|(rate, t)| rate * t).sum::<f64>() / demand;
         let strain = (time / (target * STRAINED_TIME)).max(failing / STRAINED_FAILING);
         self.strain = strain;
-        if strain > 1.0 && self.now - self.cut_at >= CUT_WAIT && demand > 0.0 {
+        // The first sums after a start tell of a few tries: a cut to those would refuse nearly all.
+        let since = self.cut_at.max(self.first_line.unwrap_or(self.now));
+        if strain > 1.0 && self.now - since >= CUT_WAIT && demand > 0.0 {
             self.let_in = Some(self.let_in.unwrap_or(demand).min(demand).min(peak) * CUT);
             self.cut_at = self.now;
         } else if strain <= 1.0 {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -534,3 +534,15 @@
     });
     assert!(seconds == 60 && used < 20, "a failing host was used in {used} of {seconds} seconds");
 }
+
+/// The first sums after a restart told of a few tries; a cut to those refused nearly all for ten seconds.
+#[test]
+fn the_first_sums_after_a_start_cut_nothing() {
+    let mut shop = Shop::open(ticket(16), 12);
+    (0..16).for_each(|n| shop.join(n, false, 5.0));
+    shop.run(2_500, |shop| (0..12).for_each(|n| shop.met(n, 0.3, 0.0, 1_500)));
+    assert_eq!(shop.steward.glance().levels[0], 1.0);
+    shop.run(6_000, |shop| (0..12).for_each(|n| shop.met(n, 6.0, 0.0, 1_500)));
+    let levels = shop.steward.glance().levels;
+    assert!(levels[0] < 1.0 && levels[1] > 0.8, "a strain that stays is answered, in measure: {levels:?}");
+}
