--- a/src/decide.rs
+++ b/src/decide.rs
@@ -224,7 +224,7 @@
         let all: f64 = came.iter().sum();
         let rates = came.iter().map(|rate| usual * rate / all).collect();
         let before = self.demand();
-        self.proxies.insert(proxy, Proxy { zone, rates, fresh, table: None, unsure: false, bind_from: now });
+        self.proxies.insert(proxy, Proxy { zone, rates, fresh, bind_from: now, ..Proxy::default() });
         self.joined_changed(before);
     }
 
@@ -321,7 +321,7 @@
 
     pub fn reqs_came(&mut self, now: Time, proxy: ProxyId, kind: KindId, many: f64, over: Span) {
         self.now = now;
-        let rate = self.proxies.get_mut(&proxy).and_then(|p| p.rates.get_mut(kind.0 as usize));
+        let rate = self.proxies.get_mut(&proxy).and_then(|p| p.rate_of(kind));
         if let Some(rate) = rate.filter(|_| over > Span::ZERO && many.is_finite()) {
             *rate += many / RATE_OVER.secs();
             self.newest_reqs = now;
@@ -410,7 +410,7 @@
     fn fade_rates(&mut self) {
         let fade = 1.0 - (self.newest_reqs - self.faded_at).say_in(RATE_OVER);
         self.faded_at = self.faded_at.max(self.newest_reqs);
-        self.proxies.values_mut().flat_map(|p| &mut p.rates).for_each(|rate| *rate *= fade);
+        self.proxies.values_mut().for_each(|p| p.fade(fade));
     }
 
     /// Ids of hosts change for good: those long gone, which owe nothing, would be kept for ever.
--- a/src/types.rs
+++ b/src/types.rs
@@ -303,11 +303,14 @@
     pub(crate) places: Vec<Place>,
 }
 
+#[derive(Default)]
 pub(crate) struct Proxy {
     pub(crate) zone: ZoneId,
     pub(crate) rates: Vec<f64>,
     pub(crate) fresh: bool,
     pub(crate) table: Option<usize>,
+    /// Whether sums of its reqs have come: who brings none keeps its usual rate.
+    pub(crate) heard: bool,
     /// What it is bound to may not stand.
     pub(crate) unsure: bool,
     pub(crate) bind_from: Time,
@@ -414,6 +417,16 @@
 }
 
 impl Proxy {
+    pub(crate) fn rate_of(&mut self, kind: KindId) -> Option<&mut f64> {
+        self.heard = true;
+        self.rates.get_mut(kind.0 as usize)
+    }
+
+    pub(crate) fn fade(&mut self, part: f64) {
+        let part = if self.heard { part } else { 1.0 };
+        self.rates.iter_mut().for_each(|rate| *rate *= part);
+    }
+
     pub(crate) fn rate(&self) -> f64 {
         self.rates.iter().sum()
     }
