--- a/src/decide.rs
+++ b/src/decide.rs
@@ -321,7 +321,7 @@
 
     pub fn reqs_came(&mut self, now: Time, proxy: ProxyId, kind: KindId, many: f64, over: Span) {
         self.now = now;
-        let rate = self.proxies.get_mut(&proxy).and_then(|p| p.rate_of(kind));
+        let rate = self.proxies.get_mut(&proxy).filter(|_| many > 0.0).and_then(|p| p.rate_of(kind));
         if let Some(rate) = rate.filter(|_| over > Span::ZERO && many.is_finite()) {
             *rate += many / RATE_OVER.secs();
             self.newest_reqs = now;
