Read once more: one dial, one reader of the relay's lines, one way to ask over HTTP

Twins of this change: three dials with the same limit, two readers of the relay's lines, and a second HTTP question beside edge-kit's. The owned task is tokio-util's. The watch now says 'connection: keep-alive', which is HTTP/1.1's default; else behaviour as it was.

--- a/crates/edge-kit/src/get.rs
+++ b/crates/edge-kit/src/get.rs
@@ -1,11 +1,24 @@
-//! A GET over HTTP/1.1 on a connection of its own.
+//! A GET over HTTP/1.1.
 
 use http_body_util::{BodyExt, Empty, Limited};
-use hyper::body::Bytes;
-use hyper::{HeaderMap, Request};
+use hyper::body::{Bytes, Incoming};
+use hyper::client::conn::http1;
+use hyper::{HeaderMap, Request, Response};
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
+use thiserror::Error;
 use tokio::net::TcpStream;
+use tokio_util::task::AbortOnDropHandle;
+
+#[derive(Debug, Error)]
+pub enum AskError {
+    #[error("{0}")]
+    Request(#[from] hyper::http::Error),
+    #[error("{0}")]
+    Http(#[from] hyper::Error),
+    #[error("status {0}")]
+    Status(u16),
+}
 
 /// A good answer.
 #[derive(Debug)]
@@ -14,26 +27,35 @@
     pub body: Bytes,
 }
 
-/// Asks; none unless the answer is a good one of at most `most` bytes. The caller sets the time limit: dropping this
-/// closes the connection.
+/// Asks on a connection of its own; none unless the answer is a good one of at most `most` bytes. The caller sets the
+/// time limit: dropping this closes the connection.
 pub async fn get(addr: SocketAddr, path: &str, most: usize) -> Option<Answer> {
     let stream = TcpStream::connect(addr).await.ok()?;
-    let (mut to_host, connection) =
-        hyper::client::conn::http1::handshake::<_, Empty<Bytes>>(TokioIo::new(stream)).await.ok()?;
-    let req = Request::get(path).header("host", addr.to_string()).header("connection", "close");
-    let req = req.body(Empty::new()).ok()?;
-    let asked = async {
-        let (head, body) = to_host.send_request(req).await.ok()?.into_parts();
-        let body = Limited::new(body, most).collect().await.ok()?.to_bytes();
-        head.status.is_success().then_some(Answer { headers: head.headers, body })
-    };
-    // The connection lives as long as the answer is awaited, no longer. A host that closes with its answer ends the
-    // connection in the same moment that the answer is there: that is no failure.
-    tokio::pin!(asked);
-    tokio::select! {
-        answer = &mut asked => answer,
-        _ = connection => asked.await,
+    let (answer, _connection) = ask(stream, addr, path, "close").await.ok()?;
+    let (head, body) = answer.into_parts();
+    let body = Limited::new(body, most).collect().await.ok()?.to_bytes();
+    Some(Answer { headers: head.headers, body })
+}
+
+/// Asks there, and gives the head of a good answer, its body still to come, with the task that drives the connection:
+/// it lives as long as that is held.
+///
+/// Errors: no HTTP, or another status.
+pub async fn ask(
+    stream: TcpStream,
+    addr: SocketAddr,
+    path: &str,
+    connection: &str,
+) -> Result<(Response<Incoming>, AbortOnDropHandle<()>), AskError> {
+    let (mut to_host, driven) = http1::handshake::<_, Empty<Bytes>>(TokioIo::new(stream)).await?;
+    // How the connection ends shows in the answer. One that ends in the same moment that the answer is there is no failure.
+    let driven = AbortOnDropHandle::new(tokio::spawn(async move { drop(driven.await) }));
+    let req = Request::get(path).header("host", addr.to_string()).header("connection", connection);
+    let answer = to_host.send_request(req.body(Empty::new())?).await?;
+    if !answer.status().is_success() {
+        return Err(AskError::Status(answer.status().as_u16()));
     }
+    Ok((answer, driven))
 }
 
 #[cfg(test)]
--- a/crates/edge-kit/src/lib.rs
+++ b/crates/edge-kit/src/lib.rs
@@ -7,4 +7,4 @@
 mod get;
 
 pub use clock::Clock;
-pub use get::{Answer, get};
+pub use get::{Answer, AskError, ask, get};
--- a/crates/platform-edge/src/calls.rs
+++ b/crates/platform-edge/src/calls.rs
@@ -1,16 +1,15 @@
 //! The connection for calls to the relay: one call under way at most.
 
-use crate::task::{DIAL_LIMIT, DIAL_PAUSE, Told, Word};
-use futures_util::StreamExt;
+use crate::dial::{DIAL_PAUSE, RelayLines, dial};
+use crate::word::{Told, Word};
 use pondarch_platform_steward::CallEnd;
-use pondarch_platform_wire::relay::{self, LINE_MOST, Line};
+use pondarch_platform_wire::relay::{self, Line};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
-use tokio_util::codec::{FramedRead, LinesCodec};
 
 /// An answer comes within 50 ms or never; this leaves room for a crowded machine.
 const ANSWER_LIMIT: Duration = Duration::from_millis(300);
@@ -23,16 +22,14 @@
 /// Dials, carries calls, dials again, until no more calls can come; the last one is carried to its end.
 pub(crate) async fn run(to: SocketAddr, age: u64, mut calls: mpsc::Receiver<Call>, say: mpsc::Sender<Told>) {
     loop {
-        match timeout(DIAL_LIMIT, TcpStream::connect(to)).await {
-            Ok(Ok(stream)) => {
+        match dial(to).await {
+            Ok(stream) => {
                 // If the program is gone, nobody needs to know; that holds for all that is said here.
                 say.send((age, Word::CallsUp)).await.ok();
                 let Some(why) = talk(stream, age, &mut calls, &say).await else { return };
                 say.send((age, Word::CallsDown(why))).await.ok();
             }
-            failed => {
-                let why = failed
-                    .map_or("never came up".into(), |f| f.map_or_else(|e| e.to_string(), |_| String::new()));
+            Err(why) => {
                 say.send((age, Word::CallsDown(why.clone()))).await.ok();
                 let pause = sleep(DIAL_PAUSE);
                 tokio::pin!(pause);
@@ -60,28 +57,21 @@
     calls: &mut mpsc::Receiver<Call>,
     say: &mpsc::Sender<Told>,
 ) -> Option<String> {
-    stream.set_nodelay(true).ok();
     let (reading, mut writing) = stream.split();
-    let mut lines = FramedRead::new(reading, LinesCodec::new_with_max_length(LINE_MOST));
+    let mut lines = RelayLines::of(reading);
     loop {
         let next = tokio::select! {
             biased;
-            line = lines.next() => return Some(match line {
-                Some(Ok(_)) => "the relay said what nobody asked".into(),
-                Some(Err(wrong)) => wrong.to_string(),
-                None => "closed by the relay".into(),
-            }),
+            line = lines.next() => {
+                return Some(line.map_or_else(|why| why, |_| "the relay said what nobody asked".into()));
+            }
             next = timeout(IDLE_LIMIT, calls.recv()) => next,
         };
         let Ok(next) = next else { return Some("idle".into()) };
         let (call, line) = next?;
         let answered = async {
             writing.write_all(line.as_bytes()).await.map_err(|wrong| wrong.to_string())?;
-            match lines.next().await {
-                Some(Ok(text)) => Ok(text),
-                Some(Err(wrong)) => Err(wrong.to_string()),
-                None => Err("closed by the relay".into()),
-            }
+            lines.next().await
         };
         let answered = timeout(ANSWER_LIMIT, answered).await.unwrap_or(Err("no answer".into()));
         let (end, why) = match answered.as_deref().map(relay::read) {
--- a/crates/platform-edge/src/clients.rs
+++ b/crates/platform-edge/src/clients.rs
@@ -1,6 +1,6 @@
 //! Who connects to the steward's own address: collectors, askers for a sign of life, and strangers.
 
-use crate::task::{Gone, Task, Told, Word};
+use crate::word::{Gone, Told, Word};
 use futures_util::StreamExt;
 use pondarch::types::ZoneId;
 use pondarch_platform_wire::report::{self, Message, Spoilt};
@@ -12,6 +12,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, timeout, timeout_at};
 use tokio_util::codec::FramedRead;
+use tokio_util::task::AbortOnDropHandle;
 
 /// Who has not joined by then is closed.
 const JOIN_LIMIT: Duration = Duration::from_millis(1_000);
@@ -39,7 +40,7 @@
     zone: Option<ZoneId>,
     /// Says to the task that it has joined.
     joined: watch::Sender<bool>,
-    _task: Task,
+    _task: AbortOnDropHandle<()>,
 }
 
 impl Clients {
@@ -61,12 +62,12 @@
         self.next += 1;
         let (id, say) = (self.next, self.say.clone());
         let (joined, told) = watch::channel(false);
-        let task = Task::spawn(async move {
+        let task = tokio::spawn(async move {
             let why = serve(stream, id, told, &say).await;
             // If the program is gone, nobody needs to know.
             say.send((0, Word::ClientGone { client: id, why })).await.ok();
         });
-        self.open.insert(id, Client { zone: None, joined, _task: task });
+        self.open.insert(id, Client { zone: None, joined, _task: AbortOnDropHandle::new(task) });
     }
 
     /// A connection named its zone; none: there is no such zone.
--- a/crates/platform-edge/src/discovery.rs
+++ b/crates/platform-edge/src/discovery.rs
@@ -1,16 +1,13 @@
 //! The watch on discovery: the list once whole from each address, then what changes.
 
-use crate::task::{DIAL_LIMIT, DIAL_PAUSE, Told, Word};
+use crate::dial::{DIAL_PAUSE, dial};
+use crate::word::{Told, Word};
 use bytes::BytesMut;
-use http_body_util::{BodyExt, Empty};
-use hyper::Request;
-use hyper::body::{Bytes, Incoming};
-use hyper_util::rt::TokioIo;
-use pondarch_edge_kit::get;
+use http_body_util::BodyExt;
+use pondarch_edge_kit::{ask, get};
 use pondarch_platform_wire::registry::{self, LIST_MOST, Listed};
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 
@@ -39,12 +36,16 @@
             Err(wrong) => return wrong.to_string(),
         }
     }
-    let asked = timeout(ANSWER_LIMIT, watch(to, since.unwrap_or(0))).await;
-    let (mut body, _connection) = match asked {
+    let watching = async {
+        let path = format!("{PATH}?follow=1&since={}", since.unwrap_or(0));
+        ask(dial(to).await?, to, &path, "keep-alive").await.map_err(|wrong| wrong.to_string())
+    };
+    let (answer, _connection) = match timeout(ANSWER_LIMIT, watching).await {
         Ok(Ok(watching)) => watching,
-        Ok(Err(wrong)) => return wrong,
+        Ok(Err(why)) => return why,
         Err(_) => return "no answer".into(),
     };
+    let mut body = answer.into_body();
     let mut held = BytesMut::new();
     loop {
         let frame = match timeout(SILENCE_LIMIT, body.frame()).await {
@@ -54,9 +55,8 @@
             Err(_) => return "silent".into(),
         };
         let Ok(data) = frame.into_data() else { continue };
-        let searched = held.len();
+        let mut from = held.len();
         held.extend_from_slice(&data);
-        let mut from = searched;
         while let Some(end) = held[from..].iter().position(|&byte| byte == b'\n').map(|at| at + from) {
             let line = held.split_to(end + 1);
             from = 0;
@@ -79,24 +79,3 @@
     // If the program is gone, nobody needs to know.
     say.send((age, Word::Listed(listed))).await.ok();
 }
-
-/// The answer's body, and the task that drives its connection.
-async fn watch(to: SocketAddr, since: u64) -> Result<(Incoming, crate::task::Task), String> {
-    let stream = match timeout(DIAL_LIMIT, TcpStream::connect(to)).await {
-        Ok(stream) => stream.map_err(|wrong| wrong.to_string())?,
-        Err(_) => return Err("never came up".into()),
-    };
-    let (mut asking, connection) =
-        hyper::client::conn::http1::handshake::<_, Empty<Bytes>>(TokioIo::new(stream))
-            .await
-            .map_err(|wrong| wrong.to_string())?;
-    // How the connection ends shows in the body.
-    let connection = crate::task::Task::spawn(async move { drop(connection.await) });
-    let req = Request::get(format!("{PATH}?follow=1&since={since}")).header("host", to.to_string());
-    let req = req.body(Empty::new()).map_err(|wrong| wrong.to_string())?;
-    let answer = asking.send_request(req).await.map_err(|wrong| wrong.to_string())?;
-    if !answer.status().is_success() {
-        return Err(format!("status {}", answer.status().as_u16()));
-    }
-    Ok((answer.into_body(), connection))
-}
--- a/crates/platform-edge/src/news.rs
+++ b/crates/platform-edge/src/news.rs
@@ -1,15 +1,13 @@
 //! The connection that brings the relay's news.
 
-use crate::task::{DIAL_LIMIT, DIAL_PAUSE, Told, Word};
-use futures_util::StreamExt;
-use pondarch_platform_wire::relay::{self, LINE_MOST, Line};
+use crate::dial::{DIAL_PAUSE, RelayLines, dial};
+use crate::word::{Told, Word};
+use pondarch_platform_wire::relay::{self, Line};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
-use tokio_util::codec::{FramedRead, LinesCodec};
 
 /// A sign of life comes every second.
 const SILENCE_LIMIT: Duration = Duration::from_millis(2_300);
@@ -27,22 +25,19 @@
 
 /// Follows the news on one connection; gives why it ended.
 async fn follow(to: SocketAddr, age: u64, say: &mpsc::Sender<Told>) -> String {
-    let mut stream = match timeout(DIAL_LIMIT, TcpStream::connect(to)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(wrong)) => return wrong.to_string(),
-        Err(_) => return "never came up".into(),
+    let mut stream = match dial(to).await {
+        Ok(stream) => stream,
+        Err(why) => return why,
     };
-    stream.set_nodelay(true).ok();
     if let Err(wrong) = stream.write_all(relay::watch().as_bytes()).await {
         return wrong.to_string();
     }
-    let mut lines = FramedRead::new(stream, LinesCodec::new_with_max_length(LINE_MOST));
+    let mut lines = RelayLines::of(stream);
     let mut limit = ANSWER_LIMIT;
     loop {
         let line = match timeout(limit, lines.next()).await {
-            Ok(Some(Ok(line))) => line,
-            Ok(Some(Err(wrong))) => return wrong.to_string(),
-            Ok(None) => return "closed by the relay".into(),
+            Ok(Ok(line)) => line,
+            Ok(Err(why)) => return why,
             Err(_) => return "silent".into(),
         };
         let word = match relay::read(&line) {
--- a/crates/platform-edge/src/parties.rs
+++ b/crates/platform-edge/src/parties.rs
@@ -2,18 +2,19 @@
 //! each old one goes when its new one serves.
 
 use crate::calls::{self, Call};
-use crate::task::{Task, Told, Word};
+use crate::word::{Told, Word};
 use crate::{discovery, news};
 use pondarch_platform_wire::config::Around;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
+use tokio_util::task::AbortOnDropHandle;
 
 pub(crate) struct Parties {
     say: mpsc::Sender<Told>,
     around: Around,
     age: u64,
-    lists: Moving<Task>,
-    news: Moving<Task>,
+    lists: Moving<AbortOnDropHandle<()>>,
+    news: Moving<AbortOnDropHandle<()>>,
     calls: Moving<Caller>,
     /// Tasks of callers: a caller without a sender ends by itself, once its call has.
     callers: JoinSet<()>,
@@ -50,7 +51,7 @@
         let mut callers = JoinSet::new();
         Parties {
             lists: Moving { now: (1, lists(around, 1, version, &say)), before: None },
-            news: Moving { now: (1, Task::spawn(news::run(around.relay, 1, say.clone()))), before: None },
+            news: Moving { now: (1, owned(news::run(around.relay, 1, say.clone()))), before: None },
             calls: Moving { now: (1, caller(around, 1, &say, &mut callers)), before: None },
             callers,
             age: 1,
@@ -66,7 +67,7 @@
             self.lists.to(self.age, lists(around, self.age, None, &self.say));
         }
         if around.relay != self.around.relay {
-            self.news.to(self.age, Task::spawn(news::run(around.relay, self.age, self.say.clone())));
+            self.news.to(self.age, owned(news::run(around.relay, self.age, self.say.clone())));
             let caller = caller(around, self.age, &self.say, &mut self.callers);
             self.calls.to(self.age, caller);
         }
@@ -106,8 +107,13 @@
     }
 }
 
-fn lists(around: Around, age: u64, version: Option<u64>, say: &mpsc::Sender<Told>) -> Task {
-    Task::spawn(discovery::run(around.discovery, age, version, say.clone()))
+/// A task that ends with its owner.
+fn owned(work: impl Future<Output = ()> + Send + 'static) -> AbortOnDropHandle<()> {
+    AbortOnDropHandle::new(tokio::spawn(work))
+}
+
+fn lists(around: Around, age: u64, version: Option<u64>, say: &mpsc::Sender<Told>) -> AbortOnDropHandle<()> {
+    owned(discovery::run(around.discovery, age, version, say.clone()))
 }
 
 fn caller(around: Around, age: u64, say: &mpsc::Sender<Told>, tasks: &mut JoinSet<()>) -> Caller {
--- a/crates/platform-edge/src/probes.rs
+++ b/crates/platform-edge/src/probes.rs
@@ -1,6 +1,6 @@
 //! Probes of hosts, bounded in time and number.
 
-use crate::task::{Told, Word};
+use crate::word::{Told, Word};
 use pondarch::types::HostId;
 use pondarch_edge_kit::get;
 use pondarch_platform_wire::load;
--- a/crates/platform-edge/src/program.rs
+++ b/crates/platform-edge/src/program.rs
@@ -4,7 +4,7 @@
 use crate::log::Lines;
 use crate::parties::Parties;
 use crate::probes::Probes;
-use crate::task::{Gone, Told, Word};
+use crate::word::{Told, Word};
 use pondarch::types::HostId;
 use pondarch_edge_kit::Clock;
 use pondarch_platform_steward::{CallEnd, Core, Input, Output, Tally};
@@ -154,8 +154,6 @@
                     }
                 }
                 Output::Probe { host, at } => self.probes.ask(host, at),
-                // The list is followed all the time.
-                Output::FollowList => {}
             }
         }
     }
@@ -242,7 +240,7 @@
         );
         let tally = self.core.tally();
         if *tally != self.tally {
-            let ended: &std::collections::BTreeMap<Gone, u64> = &self.clients.ended;
+            let ended = &self.clients.ended;
             info!(members = self.core.joined(), clients = self.clients.open(), ?ended, ?tally, "so far");
             self.tally = tally.clone();
         }
--- a/crates/platform-edge/src/task.rs
+++ b/crates/platform-edge/src/word.rs
@@ -1,32 +1,10 @@
-//! Tasks that end with their owner, and what all of them say to the program.
+//! What the edge's tasks say to the program.
 
 use pondarch::types::{HostId, Load};
 use pondarch_platform_steward::CallEnd;
 use pondarch_platform_wire::registry::Listed;
 use pondarch_platform_wire::relay::News;
 use pondarch_platform_wire::report::{Message, Spoilt};
-use std::time::Duration;
-use tokio::task::JoinHandle;
-
-/// Within this a connection comes up, or it never does: all parties are near.
-pub(crate) const DIAL_LIMIT: Duration = Duration::from_millis(400);
-/// Between two tries to dial.
-pub(crate) const DIAL_PAUSE: Duration = Duration::from_millis(100);
-
-/// Dropping it ends the task.
-pub(crate) struct Task(JoinHandle<()>);
-
-impl Task {
-    pub(crate) fn spawn(work: impl Future<Output = ()> + Send + 'static) -> Task {
-        Task(tokio::spawn(work))
-    }
-}
-
-impl Drop for Task {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
 
 /// What a task has to say.
 #[derive(Debug)]
