Read once more: one numbering of tries, an output nobody used gone, reasons of constants

The numbers of tries stood in the bench adapter twice and in the platform's relay once more. Output::FollowList did nothing. Demand had a twin in share_let_in. Four constants lacked unit or reason.

--- a/crates/job-ticket/src/lib.rs
+++ b/crates/job-ticket/src/lib.rs
@@ -3,19 +3,19 @@
 
 use pondarch::types::*;
 use serde_json::Value;
-use std::fmt;
+use thiserror::Error;
 
 /// The settings are no object.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("not an object")]
 pub struct NoObject;
 
-impl fmt::Display for NoObject {
-    fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
-        out.write_str("not an object")
-    }
-}
+/// When proxies try again, by the numbers that settings and orders give them.
+const TRIES: [Tries; 4] = [Tries::Once, Tries::AgainIfNeverRun, Tries::AgainOnFailure, Tries::TwiceOnFailure];
 
-impl std::error::Error for NoObject {}
+pub fn number_of_tries(tries: Tries) -> usize {
+    TRIES.iter().position(|known| *known == tries).expect("all are listed")
+}
 
 /// Names that one steward's settings gave numbers to.
 #[derive(Debug, Default)]
@@ -101,13 +101,7 @@
         proxies: number(&family["proxies"]) as u64,
         sliced: number(&family["partitionsN"]) > 0.0,
         zones: names.zones.len() as u16,
-        base_tries: match family["baseMode"].as_u64() {
-            Some(0) => Some(Tries::Once),
-            Some(1) => Some(Tries::AgainIfNeverRun),
-            Some(2) => Some(Tries::AgainOnFailure),
-            Some(3) => Some(Tries::TwiceOnFailure),
-            _ => None,
-        },
+        base_tries: family["baseMode"].as_u64().and_then(|number| TRIES.get(number as usize)).copied(),
         admission: match family["admission"].as_str() {
             Some("share") => Admission::Share,
             Some("rate") => Admission::Rate,
--- a/crates/platform-steward/src/core.rs
+++ b/crates/platform-steward/src/core.rs
@@ -60,7 +60,6 @@
 pub enum Output {
     Call { call: u64, line: String },
     Probe { host: HostId, at: SocketAddr },
-    FollowList,
 }
 
 pub struct Core {
@@ -261,7 +260,8 @@
         while let Some(ruling) = self.held_back.take().or_else(|| self.steward.next(now)) {
             match &ruling {
                 Ruling::WakeIn(span) => self.wake = Some(now + *span),
-                Ruling::FollowList => self.out.push_back(Output::FollowList),
+                // The edge follows the list all the time.
+                Ruling::FollowList => {}
                 Ruling::Probe(host) => {
                     if let Some(&at) = self.at.get(host) {
                         self.tally.probes += 1;
--- a/crates/platform-steward/tests/town/mod.rs
+++ b/crates/platform-steward/tests/town/mod.rs
@@ -133,7 +133,6 @@
                 Output::Probe { host, .. } => {
                     self.core.handle(self.time(), Input::Probed { host, good: true, load: None });
                 }
-                Output::FollowList => {}
             }
         }
     }
--- a/crates/platform-wire/src/relay.rs
+++ b/crates/platform-wire/src/relay.rs
@@ -1,6 +1,7 @@
 //! The relay: JSON-RPC 2.0, one object a line. Calls with orders; their answers; news of proxies.
 
-use pondarch::types::{KindId, ProxyId, Ruling, Tries};
+use pondarch::types::{KindId, ProxyId, Ruling};
+use pondarch_job_ticket::number_of_tries;
 use serde::Serialize;
 use serde_json::Value;
 
@@ -55,7 +56,7 @@
         cluster: u16,
         routes: Vec<&'a str>,
         admit: f64,
-        policy: u8,
+        policy: usize,
     },
 }
 
@@ -73,22 +74,13 @@
             cluster: table.0,
             routes: name(kind).into_iter().collect(),
             admit: *quota,
-            policy: policy(*tries),
+            policy: number_of_tries(*tries),
         },
         Ruling::Probe(_) | Ruling::FollowList | Ruling::WakeIn(_) => return None,
     };
     serde_json::to_string(&order).ok()
 }
 
-fn policy(tries: Tries) -> u8 {
-    match tries {
-        Tries::Once => 0,
-        Tries::AgainIfNeverRun => 1,
-        Tries::AgainOnFailure => 2,
-        Tries::TwiceOnFailure => 3,
-    }
-}
-
 /// Whether one more order fits into a call that has orders of so many bytes.
 pub fn fits(bytes: usize, order: &str) -> bool {
     bytes + order.len() + 1 + ROUND_CALL <= CALL_MOST
--- a/crates/pondarch-benchlink/src/encode.rs
+++ b/crates/pondarch-benchlink/src/encode.rs
@@ -1,6 +1,7 @@
 //! From rulings to the wire's lines.
 
-use pondarch::types::{KindId, Ruling, Tries};
+use pondarch::types::{KindId, Ruling};
+use pondarch_job_ticket::number_of_tries;
 use std::fmt::Write;
 
 pub fn ruling(ruling: &Ruling, out: &mut String) {
@@ -12,7 +13,7 @@
             writeln!(out, "HAND_TABLE\t{}\t{}\t{}", proxy.0, table.0, mask(kinds))
         }
         Ruling::Level { table, kind, quota, tries } => {
-            writeln!(out, "VALVE\t{}\t{}\t{}\t{}", 1u64 << kind.0, mode(*tries), quota, table.0)
+            writeln!(out, "VALVE\t{}\t{}\t{}\t{}", 1u64 << kind.0, number_of_tries(*tries), quota, table.0)
         }
         Ruling::Probe(host) => writeln!(out, "INSPECT\t{}", host.0),
         Ruling::FollowList => writeln!(out, "TRACK\t1"),
@@ -24,12 +25,3 @@
 fn mask(kinds: &[KindId]) -> u64 {
     kinds.iter().map(|kind| 1u64 << kind.0).sum()
 }
-
-fn mode(tries: Tries) -> u8 {
-    match tries {
-        Tries::Once => 0,
-        Tries::AgainIfNeverRun => 1,
-        Tries::AgainOnFailure => 2,
-        Tries::TwiceOnFailure => 3,
-    }
-}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -43,9 +43,9 @@
 /// Part by which a weight is off before it is sent (less is not noticed); multiple of its due: a hazard.
 const LINE_STEP: f64 = 0.1;
 const HAZARD: f64 = 1.5;
-/// Time in which tries lose half their say; over which load and demand, and answer times, are averaged: a few
-/// of the noisy sums, but short enough that a cut of levels shows soon; what one line of sums says of the lag
-/// of all: large fleets get theirs in turns.
+/// What one line of sums says of the lag of all (large fleets get theirs in turns); time in which tries lose
+/// half their say; over which load, reqs and answer times are averaged: a few of the noisy sums, yet a cut of
+/// levels shows soon; reqs a second of each kind taken for certain, so that usual rates can be split by them.
 const LAG_SAY: f64 = 0.02;
 const TALLY_HALF: Span = Span::from_millis(2_000);
 const LOAD_OVER: Span = Span::from_millis(3_000);
@@ -68,9 +68,9 @@
 const ASK_PART: f64 = 0.3;
 /// Part of the open hosts that health may keep away from at most: the rest must carry the day.
 const OUT_MOST: f64 = 0.25;
-/// Wait before a failed host is tried again (a few sums), and twice that on trial, at this part of its
-/// weight; reqs waiting, over twice the median, with which a probe's good answer counts for nothing; part of
-/// its work from which a member needs no stand-in.
+/// Wait before a failed host is tried again (a few sums), times that it doubles (to 12 s) and one more, and
+/// twice it on trial, at this part of its weight; reqs waiting, over twice the median, that make a probe's
+/// good answer count for nothing; part of its work from which a member needs no stand-in.
 const BACK: Span = Span::from_millis(1_500);
 const OUTS_MOST: u32 = 4;
 const TRIAL_PART: f64 = 0.2;
@@ -487,7 +487,7 @@
 
     /// Share of all reqs that the levels let in.
     fn share_let_in(&self) -> f64 {
-        let came: f64 = self.proxies.values().flat_map(|p| &p.rates).sum();
+        let came = self.demand();
         let taken = |p: &Proxy| -> f64 { p.rates.iter().zip(&self.levels).map(|(r, level)| r * level).sum() };
         if came > 0.0 { self.proxies.values().map(taken).sum::<f64>() / came } else { 1.0 }
     }
