A steward that recovers records without a host no longer divides by no table and ends

Checked: the steward's own log, which the test threw away and now keeps: 'attempt to divide by zero' at decide.rs lay_tables (most = .. / count, no table drawn). Ruled out: a lock still held, a slow start, a loop in recovery (the process was gone). The glance, which decides nothing, moved out.

--- a/crates/cli/tests/recovery.rs
+++ b/crates/cli/tests/recovery.rs
@@ -4,7 +4,7 @@
 use pondarch_rehearsal::facts::Facts;
 use pondarch_rehearsal::front::Front;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Output, Stdio};
+use std::process::{Child, Command, Output};
 use std::time::{Duration, Instant};
 
 const PROXIES: usize = 3;
@@ -54,7 +54,8 @@
 
     fn run(&mut self) {
         let mut command = Command::new(env!("CARGO_BIN_EXE_pondarch"));
-        command.arg("run").arg(self.path("site.jsonnet")).stderr(Stdio::null());
+        let log = std::fs::File::options().create(true).append(true).open(self.path("log")).expect("a log");
+        command.arg("run").arg(self.path("site.jsonnet")).stderr(log);
         self.child = Some(command.spawn().expect("the program starts"));
     }
 
@@ -74,8 +75,9 @@
         while !holds() {
             assert!(
                 Instant::now() < deadline,
-                "never: {what}\n{}",
-                self.ctl("show info; show map owed; show errors")
+                "never: {what}\n{}\nits log:\n{}",
+                self.ctl("show info; show map owed; show errors"),
+                std::fs::read_to_string(self.path("log")).unwrap_or_default()
             );
             std::thread::sleep(Duration::from_millis(10));
         }
@@ -222,8 +224,12 @@
     site.until("the drain", || fronts.iter().all(|front| !serves(front, "host-3")));
     std::fs::remove_file(site.path("there")).expect("removed");
     site.until("written", || site.ctl("show info").contains("Records: written"));
+    let snapshot = |entry: std::io::Result<std::fs::DirEntry>| {
+        entry.is_ok_and(|e| e.path().extension() == Some("snap".as_ref()))
+    };
+    let files = || std::fs::read_dir(site.path("there/records")).into_iter().flatten();
+    site.until("a snapshot", || files().any(snapshot));
     let mut site = site;
-    std::thread::sleep(Duration::from_millis(500));
     site.kill();
     site.run();
     site.joined();
--- a/crates/history/tests/recovery.rs
+++ b/crates/history/tests/recovery.rs
@@ -423,3 +423,23 @@
     next.handle(Time::from_micros(at + 20), Input::List { version: Some(3), hosts: Vec::new() });
     assert_eq!(next.remembered().hosts().len(), 8);
 }
+
+/// The list was lost in a gap, and what is on record tells of no host: no list has come, and what proxies hold stands.
+#[test]
+fn records_without_a_host_are_no_list() {
+    let mut core = Core::new(&site(false), 7, 1, START, Time::from_micros(START));
+    core.handle(Time::from_micros(START), Input::Recovered(Box::default()));
+    let mut now = START;
+    let mut give = |core: &mut Core, input: Input| {
+        now += 50_000;
+        core.handle(Time::from_micros(now), input);
+        std::iter::from_fn(|| core.next_output()).collect::<Vec<_>>()
+    };
+    give(&mut core, Input::Command { caller: 1, level: 3, line: "help".into() });
+    for _ in 0..100 {
+        give(&mut core, Input::Tick);
+    }
+    let hosts = (0..8).map(|n| host(n, HostState::Ready, None)).collect();
+    give(&mut core, Input::List { version: Some(1), hosts });
+    assert_eq!(core.remembered().hosts().len(), 8);
+}
--- a/crates/steward/src/list.rs
+++ b/crates/steward/src/list.rs
@@ -141,8 +141,9 @@
     }
 
     /// Takes up what was known; gives the complete list for the module. Hosts in zones that the settings no longer have
-    /// are left behind: the file says where they are now.
-    pub(crate) fn recover(&mut self, old: RememberedList) -> Vec<Listing> {
+    /// are left behind: the file says where they are now. None: no host was known, which is no list. Taken for one, it had
+    /// proxies joined to tables without a host.
+    pub(crate) fn recover(&mut self, old: RememberedList) -> Option<Vec<Listing>> {
         let id = |name: &str| HostId(name.into());
         let zones = self.zones.clone();
         let fits = |entry: &HostEntry| zones.contains(&entry.zone);
@@ -161,7 +162,7 @@
             (id(&host.entry.name), Known { entry: host.entry, started, standing, told_away })
         };
         self.known = old.hosts.into_iter().filter(|host| fits(&host.entry)).map(known).collect();
-        self.complete()
+        (!self.known.is_empty()).then(|| self.complete())
     }
 
     /// The same hosts with other weights for the module.
--- a/crates/steward/src/recovering.rs
+++ b/crates/steward/src/recovering.rs
@@ -28,7 +28,7 @@
         let (ready, draining, gone) =
             (count(Standing::Open), count(Standing::Draining), count(Standing::Gone));
         self.tell(Event::Recovered { ready, draining, gone });
-        if !self.list.known.is_empty() {
+        if let Some(listings) = listings {
             self.list_changed(listings);
         }
     }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -5,6 +5,8 @@
 //! `reqs_came`, `probe_answered`, `carried_out`, `woke`) that only note what is known; after each round of
 //! them `next` until it gives `None`. The types of both directions are in `types.rs`; it knows no wire.
 
+mod glance;
+
 use crate::types::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -349,27 +351,6 @@
         (self.now, self.news, self.woken) = (now, true, true);
     }
 
-    /// What is believed now, for whoever watches.
-    pub fn glance(&self) -> Glance {
-        let named =
-            |of: &dyn Fn(&&Host) -> bool| self.hosts.iter().filter(of).map(|h| h.id.clone()).collect();
-        Glance {
-            known: self.hosts.len(),
-            open: self.hosts.iter().filter(|h| self.ready.open(h, self.now)).count(),
-            kept_out: named(&|h| h.out_until.is_some()),
-            on_trial: named(&|h| h.trial_since.is_some()),
-            eased: named(&|h| h.eased > 1.0 - STAND_IN_UNTIL),
-            errored: (self.hosts.iter().filter(|h| h.errored > 0.3))
-                .map(|h| (h.id.clone(), h.tries, h.errored / h.tries))
-                .collect(),
-            levels: self.levels.clone(),
-            strain: self.strain,
-            lag: Span::from_micros((self.lag * 1e6) as u64),
-            demand: self.demand(),
-            flow: self.flow(self.hosts.iter()),
-        }
-    }
-
     // ---- Deciding -------------------------------------------------------------------------------------
 
     /// The next decision, or none until something new is known.
@@ -397,6 +378,10 @@
             self.ease(passed);
             self.set_levels(passed);
         }
+        // Before the first list there is no table at all: proxies keep what they hold.
+        if self.version.is_none() {
+            return;
+        }
         if woken || urgent {
             self.judge();
             self.lay_tables();
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -546,3 +546,21 @@
     let levels = shop.steward.glance().levels;
     assert!(levels[0] < 1.0 && levels[1] > 0.8, "a strain that stays is answered, in measure: {levels:?}");
 }
+
+/// A list that has not come yet is no empty list: nobody is bound to a table without a host.
+#[test]
+fn before_the_first_list_nobody_is_bound() {
+    let mut steward = Steward::open(ticket(8), 1, Time::from_micros(SECOND));
+    steward.proxy_joined(Time::from_micros(SECOND), ProxyId(3), false, 5.0, ZoneId(0));
+    let mut decided = Vec::new();
+    for n in 0..20 {
+        let now = Time::from_micros(SECOND + n * SECOND / 4);
+        steward.woke(now);
+        decided.extend(std::iter::from_fn(|| steward.next(now)));
+    }
+    assert!(decided.iter().all(|ruling| matches!(ruling, Ruling::WakeIn(_))), "{decided:?}");
+    let now = Time::from_micros(7 * SECOND);
+    steward.list_came(now, 1, true, (0..8).map(|n| listing(n, Standing::Open, Time::default())).collect());
+    let decided: Vec<Ruling> = std::iter::from_fn(|| steward.next(now)).collect();
+    assert!(decided.iter().any(|ruling| matches!(ruling, Ruling::Bind { .. })), "{decided:?}");
+}
