A rush of strangers no longer pushes out a collector whose name was not read yet

Seen: with eight copies of the platform test at once, strangers_are_refused_and_lock_nobody_out failed in 5 of 6: the collector's connection was reset. Checked: it was counted as Crowded; its message stood unread in the socket. Ruled out: a report that is refused, the 1 s limit. At fault: program.rs took connections one after another without letting their tasks run, and clients.rs ended the oldest stranger, however young. With a pause alone the listener's 128 places overflowed (TcpExtListenOverflows) and who dialled came a second later. Change: a stranger goes for another one after 0.1 s at the earliest, tasks run between two that are taken, 4,096 may wait. Result: 16 of 16 copies pass under that load.

--- a/crates/platform-edge/src/clients.rs
+++ b/crates/platform-edge/src/clients.rs
@@ -16,6 +16,8 @@
 
 /// Who has not joined by then is closed.
 const JOIN_LIMIT: Duration = Duration::from_millis(1_000);
+/// A stranger does not go for another one sooner: its first message may be on its way, and be a collector's.
+const HEARD_OUT: Duration = Duration::from_millis(100);
 /// Bytes of a message of one who has not joined, and of one who has: a report takes some 300.
 const STRANGER_BYTES: usize = 1024;
 const COLLECTOR_BYTES: usize = 16 * 1024;
@@ -37,6 +39,7 @@
 }
 
 struct Client {
+    since: Instant,
     zone: Option<ZoneId>,
     /// Says to the task that it has joined.
     joined: watch::Sender<bool>,
@@ -52,11 +55,17 @@
         self.open.len()
     }
 
+    /// From when on one more is taken; none: now. Hundreds that came at once pushed out a collector whose name was
+    /// not read yet.
+    pub(crate) fn room_from(&self) -> Option<Instant> {
+        let oldest = self.oldest_stranger().filter(|_| self.open.len() >= self.most)?;
+        self.open.get(&oldest).map(|client| client.since + HEARD_OUT)
+    }
+
     /// Takes a connection; if there is no room, the stranger that came first goes.
     pub(crate) fn accept(&mut self, stream: TcpStream) {
         if self.open.len() >= self.most {
-            let oldest = self.open.iter().find(|(_, client)| client.zone.is_none()).map(|(id, _)| *id);
-            let Some(oldest) = oldest else { return };
+            let Some(oldest) = self.oldest_stranger() else { return };
             self.end(oldest, Gone::Crowded);
         }
         self.next += 1;
@@ -67,7 +76,12 @@
             // If the program is gone, nobody needs to know.
             say.send((0, Word::ClientGone { client: id, why })).await.ok();
         });
-        self.open.insert(id, Client { zone: None, joined, _task: AbortOnDropHandle::new(task) });
+        let task = AbortOnDropHandle::new(task);
+        self.open.insert(id, Client { since: Instant::now(), zone: None, joined, _task: task });
+    }
+
+    fn oldest_stranger(&self) -> Option<u64> {
+        self.open.iter().find(|(_, client)| client.zone.is_none()).map(|(id, _)| *id)
     }
 
     /// A connection named its zone; none: there is no such zone.
--- a/crates/platform-edge/src/program.rs
+++ b/crates/platform-edge/src/program.rs
@@ -9,12 +9,14 @@
 use pondarch_edge_kit::Clock;
 use pondarch_platform_steward::{CallEnd, Core, Input, Output, Tally};
 use pondarch_platform_wire::config::{self, Config, ConfigError, Env};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until};
 use tracing::{info, warn};
 
@@ -22,6 +24,8 @@
 const WORDS_MOST: usize = 512;
 /// Clients' connections at once, at most, and never over half of the descriptors: the rest is for the steward's own.
 const CLIENTS_MOST: usize = 512;
+/// Connections that wait to be accepted; the system may hold fewer.
+const BACKLOG: u32 = 4_096;
 /// Between two tries to read a configuration that could not be read.
 const AGAIN: Duration = Duration::from_millis(100);
 const TALLY_EVERY: Duration = Duration::from_secs(2);
@@ -37,7 +41,7 @@
     #[error("{0}: {1}")]
     Config(PathBuf, ConfigError),
     #[error("cannot listen at {0}: {1}")]
-    Listen(std::net::SocketAddr, std::io::Error),
+    Listen(SocketAddr, std::io::Error),
     #[error("cannot follow signals: {0}")]
     Signals(std::io::Error),
 }
@@ -54,7 +58,7 @@
     let mut stop_too = signal(SignalKind::interrupt()).map_err(PlatformError::Signals)?;
     let mut moved = signal(SignalKind::hangup()).map_err(PlatformError::Signals)?;
     let listen = |wrong| PlatformError::Listen(config.listen, wrong);
-    let listener = TcpListener::bind(config.listen).await.map_err(listen)?;
+    let listener = listen_at(config.listen).map_err(listen)?;
     let mut steward = Program::start(config);
     let mut read_again: Option<Instant> = None;
     let mut told_of_config = false;
@@ -62,6 +66,7 @@
     let mut accept_from = Instant::now();
     loop {
         steward.carry_out();
+        accept_from = steward.clients.room_from().map_or(accept_from, |room| room.max(accept_from));
         let wake = steward.core.wake_at().map(|at| Instant::from_std(steward.clock.instant(at)));
         tokio::select! {
             biased;
@@ -92,7 +97,11 @@
                 tally_at = Instant::now() + TALLY_EVERY;
             }
             accepted = listener.accept(), if Instant::now() >= accept_from => match accepted {
-                Ok((stream, _)) => steward.clients.accept(stream),
+                Ok((stream, _)) => {
+                    steward.clients.accept(stream);
+                    // Many that come at once do not keep those from being read that came before.
+                    yield_now().await;
+                }
                 Err(_) => accept_from = Instant::now() + ACCEPT_PAUSE,
             },
             () = sleep_until(accept_from), if Instant::now() < accept_from => {}
@@ -103,6 +112,16 @@
     Ok(())
 }
 
+/// The usual 128 places for those who wait to be accepted are full at a rush of strangers, and who finds no place
+/// tries again after a second: so would a collector.
+fn listen_at(at: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    // After a kill the address can be had again at once.
+    socket.set_reuseaddr(true)?;
+    socket.bind(at)?;
+    socket.listen(BACKLOG)
+}
+
 async fn at(when: Option<Instant>) {
     match when {
         Some(when) => sleep_until(when).await,
