--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -26,24 +26,31 @@
     text.bytes().try_for_each(|byte| stream.write_all(&[byte]).ok())
 }
 
-/// Tells who is joined to whoever watches, and takes every call.
-fn relay(proxies: usize) -> (SocketAddr, Lines) {
-    slow_relay(proxies, Duration::ZERO)
-}
-
-/// The same, and each answer takes its time.
-fn slow_relay(proxies: usize, takes: Duration) -> (SocketAddr, Lines) {
+/// Serves each connection by `talk`, which says what it reads.
+fn party(
+    talk: impl Fn(TcpStream, &Sender<String>) -> Option<()> + Clone + Send + 'static,
+) -> (SocketAddr, Lines) {
     let (listener, at) = listener();
     let (say, lines) = channel();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let say = say.clone();
-            thread::spawn(move || relay_talk(stream, proxies, takes, &say));
+            let (talk, say) = (talk.clone(), say.clone());
+            thread::spawn(move || talk(stream, &say));
         }
     });
     (at, lines)
 }
 
+/// Tells who is joined to whoever watches, and takes every call.
+fn relay(proxies: usize) -> (SocketAddr, Lines) {
+    slow_relay(proxies, Duration::ZERO)
+}
+
+/// The same, and each answer takes its time.
+fn slow_relay(proxies: usize, takes: Duration) -> (SocketAddr, Lines) {
+    party(move |stream, say| relay_talk(stream, proxies, takes, say))
+}
+
 fn relay_talk(mut stream: TcpStream, proxies: usize, takes: Duration, say: &Sender<String>) -> Option<()> {
     let mut reading = BufReader::new(stream.try_clone().ok()?);
     let mut line = String::new();
@@ -97,16 +104,8 @@
 }
 
 fn watched_discovery(version: u64, watch: Option<Watch>) -> (SocketAddr, Lines) {
-    let (listener, at) = listener();
-    let (say, lines) = channel();
     let watches = Arc::new(AtomicUsize::new(0));
-    thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let (say, watches) = (say.clone(), watches.clone());
-            thread::spawn(move || discovery_talk(stream, version, watch, &watches, &say));
-        }
-    });
-    (at, lines)
+    party(move |stream, say| discovery_talk(stream, version, watch, &watches, say))
 }
 
 fn discovery_talk(
@@ -339,7 +338,7 @@
     steward.ends();
 }
 
-/// Hosts under new ids ten times a second, and strangers all the while: memory and descriptors stay as they were.
+/// Hosts under new ids fifty times a second, and strangers all the while: memory and descriptors stay as they were.
 #[test]
 fn many_releases_and_strangers_leave_nothing_behind() {
     let (relay_at, calls) = relay(4);
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -116,8 +116,6 @@
         let now = clock.now();
         let taken = recorder.as_mut().map(|recorder| recorder.input(now, &input));
         // An operator is told that something is done once it would survive.
-        // What was told while nothing could be written stands in no record: a snapshot makes that good at once.
-        let resumed = matches!(&input, Input::Records(state) if state.stopped.is_none() && state.lost > 0);
         edge.awaits = taken.filter(|_| matches!(input, Input::Command { .. }) && input.is_remembered());
         core.handle(now, input);
         let mut decisions = Vec::new();
@@ -137,7 +135,7 @@
         }
         if let Some(recorder) = &mut recorder {
             recorder.decided(decisions);
-            if resumed || recorder.wants_snapshot(now) {
+            if recorder.wants_snapshot(now) {
                 recorder.snapshot(now, core.remembered());
             }
         }
--- a/crates/daemon/src/recorder.rs
+++ b/crates/daemon/src/recorder.rs
@@ -184,6 +184,10 @@
     pub fn input(&mut self, at: Time, input: &Input) -> u64 {
         self.n += 1;
         let n = self.n;
+        // What was told while nothing could be written stands in no record: a snapshot makes that good at once.
+        if matches!(input, Input::Records(state) if state.stopped.is_none() && state.lost > 0) {
+            self.snapshot_at = at;
+        }
         if let Some((first, last)) = self.gap
             && self.send(Word::Gap { first, last }, 0)
         {
--- a/crates/history/tests/recovery.rs
+++ b/crates/history/tests/recovery.rs
@@ -433,7 +433,7 @@
     let mut give = |core: &mut Core, input: Input| {
         now += 50_000;
         core.handle(Time::from_micros(now), input);
-        std::iter::from_fn(|| core.next_output()).collect::<Vec<_>>()
+        while core.next_output().is_some() {}
     };
     give(&mut core, Input::Command { caller: 1, level: 3, line: "help".into() });
     for _ in 0..100 {
--- a/crates/platform-edge/src/clients.rs
+++ b/crates/platform-edge/src/clients.rs
@@ -58,14 +58,16 @@
     /// From when on one more is taken; none: now. Hundreds that came at once pushed out a collector whose name was
     /// not read yet.
     pub(crate) fn room_from(&self) -> Option<Instant> {
-        let oldest = self.oldest_stranger().filter(|_| self.open.len() >= self.most)?;
-        self.open.get(&oldest).map(|client| client.since + HEARD_OUT)
+        if self.open.len() < self.most {
+            return None;
+        }
+        self.oldest_stranger().map(|(_, client)| client.since + HEARD_OUT)
     }
 
     /// Takes a connection; if there is no room, the stranger that came first goes.
     pub(crate) fn accept(&mut self, stream: TcpStream) {
         if self.open.len() >= self.most {
-            let Some(oldest) = self.oldest_stranger() else { return };
+            let Some(oldest) = self.oldest_stranger().map(|(id, _)| id) else { return };
             self.end(oldest, Gone::Crowded);
         }
         self.next += 1;
@@ -80,8 +82,8 @@
         self.open.insert(id, Client { since: Instant::now(), zone: None, joined, _task: task });
     }
 
-    fn oldest_stranger(&self) -> Option<u64> {
-        self.open.iter().find(|(_, client)| client.zone.is_none()).map(|(id, _)| *id)
+    fn oldest_stranger(&self) -> Option<(u64, &Client)> {
+        self.open.iter().find(|(_, client)| client.zone.is_none()).map(|(id, client)| (*id, client))
     }
 
     /// A connection named its zone; none: there is no such zone.
--- a/crates/platform-edge/src/program.rs
+++ b/crates/platform-edge/src/program.rs
@@ -63,10 +63,10 @@
     let mut read_again: Option<Instant> = None;
     let mut told_of_config = false;
     let mut tally_at = Instant::now() + TALLY_EVERY;
-    let mut accept_from = Instant::now();
+    let mut paused_until = Instant::now();
     loop {
         steward.carry_out();
-        accept_from = steward.clients.room_from().map_or(accept_from, |room| room.max(accept_from));
+        let accept_from = steward.clients.room_from().map_or(paused_until, |room| room.max(paused_until));
         let wake = steward.core.wake_at().map(|at| Instant::from_std(steward.clock.instant(at)));
         tokio::select! {
             biased;
@@ -102,7 +102,7 @@
                     // Many that come at once do not keep those from being read that came before.
                     yield_now().await;
                 }
-                Err(_) => accept_from = Instant::now() + ACCEPT_PAUSE,
+                Err(_) => paused_until = Instant::now() + ACCEPT_PAUSE,
             },
             () = sleep_until(accept_from), if Instant::now() < accept_from => {}
         }
--- a/crates/steward/src/follow.rs
+++ b/crates/steward/src/follow.rs
@@ -11,8 +11,8 @@
 impl Course {
     /// Joins those there is room for, pulls decisions, and brings proxies up to date.
     pub(crate) fn settle(&mut self) {
-        // Before the first list nothing can be decided (the module would divide by no table at all): proxies are
-        // looked at, keep what they hold, and are joined when it comes.
+        // Before the first list the module decides nothing: proxies are looked at, keep what they hold, and are
+        // joined when it comes.
         if self.list.version == 0 {
             return;
         }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -92,7 +92,7 @@
 const STRAINED_FAILING: f64 = 0.3;
 const RELAXED: f64 = 0.6;
 const QUEUED: f64 = 0.2;
-/// Times that strain is raised or lowered at most for hosts that went or came since the sums: lists can be wrong.
+/// Times that strain is raised at most for hosts that went since the sums: lists can be wrong.
 const MISSING_MOST: f64 = 2.0;
 /// Under strain what is let in is cut to this part of itself, or of the most ever done; wait until that
 /// shows; rise per second, in parts of the most ever done: fast while relaxed.
@@ -532,7 +532,7 @@
         let came: Vec<f64> = kinds.map(|k| self.proxies.values().map(|p| p.rates[k]).sum()).collect();
         let demand: f64 = came.iter().sum();
         let target = came.iter().zip(&self.ready.targets).map(|(rate, t)| rate * t).sum::<f64>() / demand;
-        // Sums tell of what the fleet could do then: what went or came since shows in them seconds later.
+        // Sums tell of what the fleet could do then: what went since shows in them seconds later.
         let able = usable().map(|h| h.weight * self.ready.ramp(h, self.now)).sum::<f64>().max(1e-9);
         let shown = 1.0 - (-passed / LOAD_OVER.secs()).exp();
         let missing = mix(self.missing, 1.0, shown) * self.able / able;
