Platform: nine crossings of two events mended, each with a test on real sockets

Found by reading shutdown, watches, calls, moves and clients line by line; each was forced in a test with stand-ins that hold one event back, and each test was seen to fail without its mend (tests/platform of crates/cli, one play each): - A signal while the configuration is read ended the steward, or was not heard: program.rs followed signals only once it was read. "the steward still reads: BrokenPipe". - The loop took words of its tasks first (biased select): under a flood of reports nobody was accepted. "an answer: WouldBlock" after 5 s. - Two SIGHUPs before the new party serves ended what still served (Moving::to in parties.rs). "'relay.apply' never came". - A relay that accepts and says nothing counted as serving, and got the calls (Parties::counts): now one that tells its news does. "'relay.apply' never came", at a drain right after the move as well. - Bytes of a line that does not end hid what it told as long as they came (discovery.rs). "the watch still stands" after 6 s. - Changes numbered lower than the list were dropped by the module and never asked for again: the whole list is asked for now. "'GET /registry/instances HTTP' never came". - A relay that closes each connection at once was dialled again without end (calls.rs). "dialled 18514 times" in a second. - A collector whose bytes take 1.5 s to name it was refused each time (clients.rs). "the connection stands: BrokenPipe". - Who asks for signs of life without end was never closed: a message that is there goes before the limit. "it is still read from".

Ruled out by tests that passed before: SIGTERM and SIGINT with a call half out, without its answer, before the first list, during a move; silent watches; whole lists of lower versions; closes right after a change; late and foreign answers; cuts after the last byte; idle closes; news cut before the first sign of life; left and joined across a reconnect; BUSY; kills after accept; a thousand strangers; no descriptors left.

One test is replaced: it_serves_moves_and_ends waited for the new list's hosts at the new relay alone. Orders go to the old address until the new one tells its news, so they may be dealt there; the test now asks for the deal at either and for binds at the new one. platform.rs is split into a folder; the other tests in it are as they were, but that the log is a file.

--- /dev/null
+++ b/crates/cli/tests/platform/ends.rs
@@ -0,0 +1,125 @@
+//! Its ends: signals while a call, a start or a move is under way.
+
+use crate::party::{Party, Served, off};
+use crate::stage::*;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::process::Command;
+use std::time::Duration;
+
+/// A planned restart kills no sooner than 0.7 s after SIGTERM.
+const BEFORE_THE_KILL: Duration = Duration::from_millis(700);
+
+fn ends_in_time(mut steward: Steward, signal: &str) {
+    steward.signal(signal);
+    let ended = steward.exits_within(BEFORE_THE_KILL);
+    assert!(ended.is_some_and(|ended| ended.success()), "{ended:?}: {}", steward.log());
+}
+
+/// The relay has all of a call and has not answered.
+#[test]
+fn a_call_without_its_answer_holds_no_end_up() {
+    for signal in ["-TERM", "-INT"] {
+        let mut site = Served::with(4);
+        site.drains(2, 3);
+        let (caller, _) = site.relay.call(&off(3));
+        ends_in_time(site.steward, signal);
+        site.relay.closed(caller);
+    }
+}
+
+/// The relay has the first bytes of a call and reads no further; what it has by the end is no line.
+#[test]
+fn a_call_half_way_out_holds_no_end_up() {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(2_048).expect("set");
+    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().expect("an address").into()).expect("bound");
+    socket.listen(8).expect("listens");
+    let relay = TcpListener::from(socket);
+    let (discovery, _asked) = discovery(1);
+    let steward = Steward::start(discovery, relay.local_addr().expect("an address"));
+    let accept = || relay.accept().expect("a connection").0;
+    let (mut caller, mut news) = (accept(), accept());
+    // Before anybody has joined only one of them says something.
+    caller.set_read_timeout(Some(Duration::from_millis(200))).expect("a limit");
+    if caller.read(&mut [0; 64]).is_ok() {
+        std::mem::swap(&mut caller, &mut news);
+    }
+    // Twenty proxies join at once: binds and lines that take more than the window.
+    let mut said = "{\"jsonrpc\":\"2.0\",\"id\":0,\"result\":true}\n".to_string();
+    (0..20).for_each(|proxy| said += &crate::party::joined(proxy));
+    news.write_all(said.as_bytes()).expect("written");
+    caller.set_read_timeout(Some(SOON)).expect("a limit");
+    caller.read_exact(&mut [0; 16]).expect("the call has begun");
+    ends_in_time(steward, "-TERM");
+}
+
+/// It knows no host yet, and discovery says nothing.
+#[test]
+fn before_the_first_list_it_ends_as_well() {
+    for signal in ["-TERM", "-INT"] {
+        let (mut relay, mut discovery) = (Party::open(), Party::open());
+        let steward = Steward::start_with(discovery.at, relay.at, without_known);
+        discovery.line("GET /registry/instances HTTP");
+        relay.watcher(&[0, 1]);
+        ends_in_time(steward, signal);
+    }
+}
+
+/// The configuration without the list that it had.
+fn without_known(command: Command) -> Command {
+    let path = command.get_envs().find(|(name, _)| *name == "RELAY_CONFIG").and_then(|(_, path)| path);
+    let path = path.expect("a configuration").to_owned();
+    let text = std::fs::read_to_string(&path).expect("the file");
+    std::fs::write(path, text.replace(&format!("\"known\":{}", list(1)), "\"known\":null")).expect("written");
+    command
+}
+
+/// SIGHUP is being carried out: the file is half written, or the new parties accept and say nothing.
+#[test]
+fn it_ends_while_it_moves() {
+    let site = Served::with(4);
+    let good = std::fs::read_to_string(&site.steward.config).expect("the file");
+    std::fs::write(&site.steward.config, &good[..good.len() / 2]).expect("written");
+    site.steward.signal("-HUP");
+    site.steward.logs("configuration cannot be read", 1);
+    ends_in_time(site.steward, "-TERM");
+
+    let site = Served::with(4);
+    let (mut relay, mut discovery) = (Party::open(), Party::open());
+    site.steward.moves(discovery.at, relay.at);
+    discovery.line("GET /registry/instances HTTP");
+    relay.line("relay.watch");
+    ends_in_time(site.steward, "-TERM");
+}
+
+/// A signal that came while the configuration was being read, as at a start under load, killed the steward: it was
+/// followed only once the file was read.
+#[test]
+fn a_signal_at_the_start_waits_for_the_configuration() {
+    let (relay_at, calls) = relay(4);
+    let (discovery_at, _asked) = discovery(1);
+    let mut text = String::new();
+    let mut pipe = None;
+    let steward = Steward::start_with(discovery_at, relay_at, |mut command| {
+        let path = command.get_envs().find(|(name, _)| *name == "RELAY_CONFIG").and_then(|(_, path)| path);
+        let path = std::path::PathBuf::from(path.expect("a configuration"));
+        text = std::fs::read_to_string(&path).expect("the file");
+        let at = path.with_extension("pipe");
+        assert!(Command::new("mkfifo").arg(&at).status().expect("mkfifo").success());
+        command.env("RELAY_CONFIG", &at);
+        pipe = Some((at, path));
+        command
+    });
+    let (at, path) = pipe.expect("a pipe");
+    // This comes back once the steward has opened the other end.
+    let mut writing = std::fs::OpenOptions::new().write(true).open(&at).expect("opened");
+    steward.signal("-HUP");
+    // What is read again is a file like any other.
+    std::fs::rename(&path, &at).expect("renamed");
+    writing.write_all(text.as_bytes()).expect("the steward still reads");
+    drop(writing);
+    wait_for(&calls, "\"verb\":\"bind\"");
+    let log = steward.ends();
+    assert_eq!(log.matches("configuration read again").count(), 1, "{log}");
+}
--- /dev/null
+++ b/crates/cli/tests/platform/main.rs
@@ -0,0 +1,14 @@
+//! `pondarch platform` as a process, between a scripted relay and a scripted discovery on loopback.
+//!
+//! - `stage`: the process, and parties that follow a script by themselves.
+//! - `party`: a party that does what the test says, so that events cross as it wants.
+//! - the rest: one file a way in and out.
+
+mod clients;
+mod ends;
+mod lists;
+mod moves;
+mod party;
+mod relay;
+mod serving;
+mod stage;
--- /dev/null
+++ b/crates/cli/tests/platform/relay.rs
@@ -0,0 +1,157 @@
+//! Calls and news: answers too late or of another call, cuts in the worst moment, a relay that closes at once.
+
+use crate::party::{ALIVE, Party, Served, answer, joined, off};
+use crate::stage::*;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// The answer comes after the limit for it: what was ordered may stand or not, and is ordered again on a new connection.
+/// The late answer says nothing of the second call.
+#[test]
+fn an_answer_after_its_limit_counts_for_nothing() {
+    let mut site = Served::with(4);
+    site.drains(2, 3);
+    let (first, call) = site.relay.call(&off(3));
+    let (second, again) = site.relay.call(&off(3));
+    assert_ne!(first, second, "the connection that owes an answer is left");
+    site.relay.take(first, &call);
+    site.relay.take(second, &again);
+    site.drains(3, 4);
+    assert_eq!(site.relay.takes(&off(4)), second);
+    let log = site.steward.ends();
+    assert_eq!(log.matches("call not taken").count(), 1, "{log}");
+}
+
+/// An answer to some other call, and one that cannot be read: neither is taken for the answer.
+#[test]
+fn an_answer_to_another_call_is_none() {
+    for wrong in ["{\"jsonrpc\":\"2.0\",\"id\":999,\"result\":{\"ok_count\":1}}\n", "{\"jsonrpc\":\n"] {
+        let mut site = Served::with(4);
+        site.drains(2, 3);
+        let (first, _) = site.relay.call(&off(3));
+        site.relay.say(first, wrong);
+        let second = site.relay.takes(&off(3));
+        assert_ne!(first, second);
+        site.relay.closed(first);
+        site.steward.ends();
+    }
+}
+
+/// The relay closes the idle connection in the moment in which a drain is told: both are there when the steward, held
+/// still meanwhile, goes on.
+#[test]
+fn an_idle_close_as_a_call_is_due_loses_no_call() {
+    for reset in [false, true] {
+        let mut site = Served::with(4);
+        site.steward.signal("-STOP");
+        if reset {
+            site.relay.reset(site.caller);
+        } else {
+            site.relay.close(site.caller);
+        }
+        site.drains(2, 3);
+        site.steward.signal("-CONT");
+        let caller = site.relay.takes(&off(3));
+        assert_ne!(caller, site.caller);
+        site.steward.ends();
+    }
+}
+
+/// The connection breaks once the call's last byte is there: whether it was carried out or not, it is ordered again.
+#[test]
+fn a_cut_after_the_last_byte_is_made_good() {
+    for reset in [false, true] {
+        let mut site = Served::with(4);
+        site.drains(2, 3);
+        let (caller, _) = site.relay.call(&off(3));
+        if reset {
+            site.relay.reset(caller);
+        } else {
+            site.relay.close(caller);
+        }
+        site.relay.takes(&off(3));
+        site.steward.ends();
+    }
+}
+
+/// News break between what stands and the first sign of life. Whom only the broken list named has left.
+#[test]
+fn news_cut_before_the_first_sign_of_life_leave_no_ghosts() {
+    let (mut relay, mut discovery) = (Party::open(), Party::open());
+    let steward = Steward::start(discovery.at, relay.at);
+    discovery.watch(1);
+    let news = relay.watcher(&[0, 1, 2, 3]);
+    relay.takes("\"bind\",\"id\":3");
+    relay.reset(news);
+    let news = relay.watcher(&[0, 1]);
+    relay.say(news, ALIVE);
+    relay.takes("\"bind\",\"id\":1");
+    // Who joins after that is bound, and who was named by the broken list alone is not.
+    relay.say(news, &joined(7));
+    relay.takes("\"bind\",\"id\":7");
+    steward.logs("so far", 1);
+    let log = steward.ends();
+    let members = log.lines().rfind(|line| line.contains("so far")).expect("counts");
+    assert!(members.contains("members=3 "), "{members}");
+}
+
+/// A proxy left and joined while no news came: it holds nothing of ours, and is bound again to the table it had.
+#[test]
+fn left_and_joined_across_a_reconnect_is_bound_again() {
+    let mut site = Served::with(4);
+    site.relay.reset(site.news);
+    let news = site.relay.watcher(&[0, 1, 2, 3]);
+    site.relay.takes("\"bind\",\"id\":2");
+    site.relay.say(news, ALIVE);
+    // And in the other order, on one connection.
+    site.relay.say(news, "{\"method\":\"left\",\"params\":{\"id\":2}}\n");
+    site.relay.say(news, &joined(2));
+    site.relay.takes("\"bind\",\"id\":2");
+    site.steward.ends();
+}
+
+/// BUSY for two seconds: asked again at a calm pace on one connection, and served at once when it is over.
+#[test]
+fn a_busy_relay_is_asked_at_a_calm_pace() {
+    let (mut relay, mut discovery) = (Party::open(), Party::open());
+    let steward = Steward::start(discovery.at, relay.at);
+    discovery.watch(1);
+    let news = relay.watcher(&[0, 1, 2, 3]);
+    relay.say(news, ALIVE);
+    let (until, mut asked) = (Instant::now() + Duration::from_secs(2), 0);
+    let mut on = Vec::new();
+    while Instant::now() < until {
+        let (who, call) = relay.call("\"bind\"");
+        relay.say(who, &answer(&call, "\"error\":{\"code\":-32000,\"message\":\"BUSY\"}"));
+        asked += 1;
+        on.push(who);
+    }
+    assert!((2..=20).contains(&asked), "asked {asked} times");
+    assert!(on.iter().all(|who| *who == on[0]), "on one connection: {on:?}");
+    relay.takes("\"bind\",\"id\":3");
+    steward.ends();
+}
+
+/// A relay that takes each connection and closes it at once, as one that holds as many as it may does, was dialled
+/// again without end.
+#[test]
+fn a_relay_that_closes_at_once_is_dialled_calmly() {
+    let (listener, at) = listener();
+    let (discovery, _asked) = discovery(1);
+    let dialled = Arc::new(AtomicUsize::new(0));
+    let counted = dialled.clone();
+    thread::spawn(move || {
+        for _ in listener.incoming() {
+            counted.fetch_add(1, Relaxed);
+        }
+    });
+    let steward = Steward::start(discovery, at);
+    steward.logs("calls lost", 1);
+    thread::sleep(Duration::from_secs(1));
+    // Two connections, each ten times a second at most.
+    let dialled = dialled.load(Relaxed);
+    assert!((2..=40).contains(&dialled), "dialled {dialled} times");
+    steward.ends();
+}
--- /dev/null
+++ b/crates/cli/tests/platform/serving.rs
@@ -0,0 +1,186 @@
+//! A whole course: serving, a move, an end; memory and descriptors; strangers.
+
+use crate::stage::*;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::path::Path;
+use std::thread;
+use std::time::{Duration, Instant};
+
+#[test]
+fn without_a_good_configuration_it_says_why_and_ends() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let broken = folder.path().join("config.json");
+    std::fs::write(&broken, "{\"name\":").expect("written");
+    for (config, says) in [
+        (None, "RELAY_CONFIG"),
+        (Some(broken.as_path()), "config.json"),
+        (Some(Path::new("/nowhere")), "/nowhere"),
+    ] {
+        let ended = platform(config).output().expect("the program");
+        let text = String::from_utf8_lossy(&ended.stderr);
+        assert_eq!(ended.status.code(), Some(2), "{text}");
+        assert!(text.lines().count() == 1 && text.contains(says), "{text}");
+    }
+}
+
+#[test]
+fn it_serves_moves_and_ends() {
+    let (relay_at, calls) = relay(12);
+    let (discovery_at, asked) = discovery(1);
+    let steward = Steward::start(discovery_at, relay_at);
+    wait_for(&calls, "relay.watch");
+    wait_for(&calls, "\"verb\":\"bind\"");
+    wait_for(&asked, "follow=1&since=1");
+    // The watch falls silent: it is renewed within the time after which changes count as told.
+    wait_for(&asked, "follow=1&since=1");
+
+    // A file that is half written changes nothing, even if told twice; a good one does, and lists are asked for anew.
+    let good = std::fs::read_to_string(&steward.config).expect("the file");
+    std::fs::write(&steward.config, &good[..good.len() / 2]).expect("written");
+    steward.signal("-HUP");
+    steward.signal("-HUP");
+    thread::sleep(Duration::from_millis(300));
+    let (relay_next, calls_next) = relay(12);
+    let (discovery_next, asked_next) = discovery(0);
+    std::fs::write(&steward.config, config(steward.listen, discovery_next, relay_next)).expect("written");
+    wait_for(&asked_next, "GET /registry/instances HTTP");
+    wait_for(&calls_next, "relay.watch");
+    // The new list has other hosts, under a lower version: they are dealt, by whichever address serves then.
+    let until = Instant::now() + SOON;
+    let (mut dealt, mut bound) = (false, false);
+    while !dealt || !bound {
+        dealt |= calls.try_iter().any(|line| line.contains("s-0-"));
+        for line in calls_next.try_iter() {
+            (dealt, bound) = (dealt || line.contains("s-0-"), bound || line.contains("\"verb\":\"bind\""));
+        }
+        assert!(Instant::now() < until, "new hosts dealt: {dealt}, proxies bound by the new relay: {bound}");
+        thread::sleep(Duration::from_millis(5));
+    }
+    let log = steward.ends();
+    // Two signals may be told as one.
+    assert!((1..=2).contains(&log.matches("configuration cannot be read").count()), "once a signal: {log}");
+}
+
+/// The relay moves while a call is under way there: that call ends where it began, and none is taken for lost.
+#[test]
+fn a_call_under_way_ends_where_it_began() {
+    let (relay_at, calls) = slow_relay(12, Duration::from_millis(200));
+    let (discovery_at, _asked) = discovery(1);
+    let steward = Steward::start(discovery_at, relay_at);
+    wait_for(&calls, "\"verb\":\"bind\"");
+    let (relay_next, calls_next) = relay(14);
+    std::fs::write(&steward.config, config(steward.listen, discovery_at, relay_next)).expect("written");
+    steward.signal("-HUP");
+    wait_for(&calls_next, "relay.watch");
+    // Whoever joined meanwhile is bound by the new relay alone.
+    wait_for(&calls_next, "\"bind\",\"id\":13");
+    let log = steward.ends();
+    assert!(!log.contains("call not taken") && !log.contains("calls lost"), "{log}");
+}
+
+/// A host drains while the watch is silent: the next watch tells, well within the time after which it counts as told.
+#[test]
+fn a_silent_watch_hides_no_drain_for_long() {
+    let (relay_at, calls) = relay(4);
+    let (discovery_at, _asked) = watched_discovery(
+        1,
+        Some(|number, line| {
+            if number > 0 {
+                let hosts: Vec<String> =
+                    (0..8).map(|n| host(1, n, if n == 3 { "Terminating" } else { "Ready" })).collect();
+                line(&list_of(2, &hosts))?;
+            }
+            thread::sleep(Duration::from_secs(60));
+            Some(())
+        }),
+    );
+    let steward = Steward::start(discovery_at, relay_at);
+    wait_for(&calls, "\"target\":\"s-1-3\"");
+    let before = Instant::now();
+    wait_for(&calls, "\"target\":\"s-1-3\",\"rps\":0");
+    assert!(before.elapsed() < Duration::from_secs(4), "{:?}", before.elapsed());
+    steward.ends();
+}
+
+/// Hosts under new ids fifty times a second, and strangers all the while: memory and descriptors stay as they were.
+#[test]
+fn many_releases_and_strangers_leave_nothing_behind() {
+    let (relay_at, calls) = relay(4);
+    let (discovery_at, _asked) = watched_discovery(
+        1,
+        Some(|_, line| {
+            for version in 2..1_000 {
+                line(&list(version))?;
+                thread::sleep(Duration::from_millis(20));
+            }
+            Some(())
+        }),
+    );
+    let steward = Steward::start(discovery_at, relay_at);
+    wait_for(&calls, "\"verb\":\"bind\"");
+    let strangers = |rounds: usize| {
+        for _ in 0..rounds {
+            let mut some: Vec<TcpStream> = (0..10).map(|_| steward.dial()).collect();
+            some.iter_mut().for_each(|stranger| drop(stranger.write_all(&message("odd"))));
+            thread::sleep(Duration::from_millis(20));
+        }
+    };
+    strangers(100);
+    let (memory, descriptors) = (steward.memory(), steward.descriptors());
+    strangers(200);
+    // Hosts of the last 30 s are still known, some 300 bytes each; a connection or task that stays takes far more.
+    let grown = steward.memory().saturating_sub(memory);
+    assert!(grown < 3_000, "{grown} KiB more than {memory}");
+    assert!(steward.descriptors() <= descriptors + 12, "{} then {}", descriptors, steward.descriptors());
+    steward.ends();
+}
+
+#[test]
+fn strangers_are_refused_and_lock_nobody_out() {
+    let (relay_at, _calls) = relay(4);
+    let (discovery_at, _asked) = discovery(1);
+    let steward = Steward::start(discovery_at, relay_at);
+    let mut ping = steward.dial();
+    ping.write_all(&message("ping")).expect("written");
+    let mut pong = [0; 14];
+    ping.read_exact(&mut pong).expect("an answer");
+    assert_eq!(&pong, b"*1\r\n$4\r\npong\r\n");
+    drop(ping);
+
+    let mut collector = steward.dial();
+    collector.write_all(&message("collector site a")).expect("written");
+    let before = Instant::now();
+    let silent: Vec<TcpStream> = (0..400).map(|_| steward.dial()).collect();
+    for bad in [
+        b"GET / HTTP/1.1\r\n\r\n".to_vec(),
+        b"*1000000000000000000\r\n".to_vec(),
+        message("collector site nowhere"),
+        message("joined id 3 site a rps 2 new 1"),
+        message("heard site a target s-1-1 count 5 fail 0 mean 4 over 1000"),
+        message("ping")[..7].to_vec(),
+        vec![b'*'; 100_000],
+    ] {
+        let mut stranger = steward.dial();
+        // It may be closed before all is written.
+        stranger.write_all(&bad).ok();
+        let answer = said(stranger);
+        assert!(answer.is_empty() || answer == "*1\r\n$7\r\nrefused\r\n", "{answer}");
+    }
+    assert!(before.elapsed() < Duration::from_secs(3));
+    assert!(steward.descriptors() <= 128, "{} descriptors", steward.descriptors());
+    // Reports go on all the while, spoilt ones among them.
+    for text in ["heard site a target s-1-1 count 5 fail 9 mean 4 over 1000", "usage id 3 lane proof", "odd"]
+    {
+        collector.write_all(&message(text)).expect("the collector's connection stands");
+    }
+    thread::sleep(Duration::from_millis(1_300));
+    collector.write_all(&message("usage id 3 lane proof count 4 fail 0 over 1000")).expect("written");
+    thread::sleep(Duration::from_millis(50));
+    collector.set_nonblocking(true).expect("set");
+    let waits = collector.read(&mut [0; 8]).expect_err("nothing is ever written to a collector");
+    assert_eq!(waits.kind(), std::io::ErrorKind::WouldBlock);
+    drop(silent);
+    thread::sleep(Duration::from_millis(300));
+    assert!(steward.descriptors() < 40, "{} descriptors", steward.descriptors());
+}
--- /dev/null
+++ b/crates/cli/tests/platform/stage.rs
@@ -0,0 +1,299 @@
+//! A steward as a process, and parties on loopback that follow a script by themselves.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread;
+use std::time::{Duration, Instant};
+
+pub const SOON: Duration = Duration::from_secs(5);
+
+/// Whatever a party reads, as lines.
+pub type Lines = Receiver<String>;
+
+pub fn listener() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = listener.local_addr().expect("an address");
+    (listener, at)
+}
+
+/// A byte at a time: nothing may hang on how the network cuts.
+pub fn drip(stream: &mut TcpStream, text: &str) -> Option<()> {
+    text.bytes().try_for_each(|byte| stream.write_all(&[byte]).ok())
+}
+
+/// Serves each connection by `talk`, which says what it reads.
+pub fn party(
+    talk: impl Fn(TcpStream, &Sender<String>) -> Option<()> + Clone + Send + 'static,
+) -> (SocketAddr, Lines) {
+    let (listener, at) = listener();
+    let (say, lines) = channel();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (talk, say) = (talk.clone(), say.clone());
+            thread::spawn(move || talk(stream, &say));
+        }
+    });
+    (at, lines)
+}
+
+/// Tells who is joined to whoever watches, and takes every call.
+pub fn relay(proxies: usize) -> (SocketAddr, Lines) {
+    slow_relay(proxies, Duration::ZERO)
+}
+
+/// The same, and each answer takes its time.
+pub fn slow_relay(proxies: usize, takes: Duration) -> (SocketAddr, Lines) {
+    party(move |stream, say| relay_talk(stream, proxies, takes, say))
+}
+
+pub fn relay_talk(
+    mut stream: TcpStream,
+    proxies: usize,
+    takes: Duration,
+    say: &Sender<String>,
+) -> Option<()> {
+    let mut reading = BufReader::new(stream.try_clone().ok()?);
+    let mut line = String::new();
+    while reading.read_line(&mut line).ok()? > 0 {
+        say.send(line.clone()).ok()?;
+        let call: serde_json::Value = serde_json::from_str(&line).expect("an object");
+        line.clear();
+        if call["method"] == "relay.watch" {
+            let mut news = "{\"jsonrpc\":\"2.0\",\"id\":0,\"result\":true}\n".to_string();
+            for n in 0..proxies {
+                news += &format!(
+                    "{{\"method\":\"joined\",\"params\":{{\"id\":{n},\"site\":\"a\",\"rps\":4.0,\"new\":true}}}}\n"
+                );
+            }
+            drip(&mut stream, &news)?;
+            loop {
+                stream.write_all(b"{\"method\":\"ping\"}\n").ok()?;
+                thread::sleep(Duration::from_millis(500));
+            }
+        }
+        let orders = call["params"]["changes"].as_array().map_or(0, Vec::len);
+        let answer =
+            format!("{{\"jsonrpc\":\"2.0\",\"id\":{},\"result\":{{\"ok_count\":{orders}}}}}\n", call["id"]);
+        thread::sleep(takes);
+        drip(&mut stream, &answer)?;
+    }
+    Some(())
+}
+
+pub fn host(version: u64, n: usize, lifecycle: &str) -> String {
+    format!(
+        "{{\"instanceId\":\"s-{version}-{n}\",\"hostPort\":\"127.0.0.1:9\",\"zone\":\"a\",\"machineType\":\"m\",\
+         \"cell\":1,\"lifecycle\":\"{lifecycle}\",\"weight\":1.0,\"startedAtMs\":0}}"
+    )
+}
+
+pub fn list_of(version: u64, hosts: &[String]) -> String {
+    format!("{{\"generation\":{version},\"reset\":true,\"instances\":[{}]}}", hosts.join(","))
+}
+
+pub fn list(version: u64) -> String {
+    list_of(version, &(0..8).map(|n| host(version, n, "Ready")).collect::<Vec<_>>())
+}
+
+/// What a watch says after its head: its number from 0 on, and how to say a line.
+pub type Watch = fn(usize, &mut dyn FnMut(&str) -> Option<()>) -> Option<()>;
+
+/// Answers with the whole list; a watch gets it too, a byte at a time, and is silent from then on.
+pub fn discovery(version: u64) -> (SocketAddr, Lines) {
+    watched_discovery(version, None)
+}
+
+pub fn watched_discovery(version: u64, watch: Option<Watch>) -> (SocketAddr, Lines) {
+    let watches = Arc::new(AtomicUsize::new(0));
+    party(move |stream, say| discovery_talk(stream, version, watch, &watches, say))
+}
+
+pub fn discovery_talk(
+    mut stream: TcpStream,
+    version: u64,
+    watch: Option<Watch>,
+    watches: &AtomicUsize,
+    say: &Sender<String>,
+) -> Option<()> {
+    let mut head = String::new();
+    let mut reading = BufReader::new(stream.try_clone().ok()?);
+    while !head.ends_with("\r\n\r\n") {
+        reading.read_line(&mut head).ok().filter(|read| *read > 0)?;
+    }
+    let list = list(version);
+    say.send(head.lines().next()?.to_string()).ok()?;
+    if !head.contains("follow=1") {
+        let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{list}", list.len());
+        return stream.write_all(answer.as_bytes()).ok();
+    }
+    stream.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n").ok()?;
+    if let Some(watch) = watch {
+        let mut line =
+            |text: &str| stream.write_all(format!("{:x}\r\n{text}\n\r\n", text.len() + 1).as_bytes()).ok();
+        return watch(watches.fetch_add(1, Relaxed), &mut line);
+    }
+    for byte in format!("{list}\n").bytes() {
+        stream.write_all(&[b"1\r\n", &[byte][..], b"\r\n"].concat()).ok()?;
+    }
+    thread::sleep(Duration::from_secs(60));
+    Some(())
+}
+
+pub struct Steward {
+    pub child: Child,
+    pub config: PathBuf,
+    pub listen: SocketAddr,
+    folder: tempfile::TempDir,
+}
+
+impl Drop for Steward {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        self.child.kill().ok();
+        self.child.wait().ok();
+    }
+}
+
+pub fn config(listen: SocketAddr, discovery: SocketAddr, relay: SocketAddr) -> String {
+    format!(
+        "{{\"name\":\"n0\",\"listen\":\"{listen}\",\"discovery\":\"{discovery}\",\"seed\":\"1f\",\
+         \"limits\":{{\"sockets\":128}},\"hub\":{{\"address\":\"{relay}\"}},\"known\":{},\
+         \"settings\":{{\"classes\":[{{\"name\":\"proof\",\"aim\":1500000,\"worth\":1.0}}],\"localities\":[\"a\"],\
+         \"familyInfo\":{{\"proxies\":20,\"channelRate\":9800.0,\"mostWaiting\":9800.0,\"perMessage\":3.0,\
+         \"updateCap\":12,\"updateWindow\":10000000,\"reportEvery\":1000000,\"admission\":\"share\",\"baseMode\":0}},\
+         \"obligations\":{{\"cold\":18000000,\"startCapacity\":0.2}}}}}}",
+        list(1)
+    )
+}
+
+impl Steward {
+    pub fn start(discovery: SocketAddr, relay: SocketAddr) -> Steward {
+        Steward::start_with(discovery, relay, |command| command)
+    }
+
+    /// The same, with whatever that makes of the command.
+    pub fn start_with(
+        discovery: SocketAddr,
+        relay: SocketAddr,
+        so: impl FnOnce(Command) -> Command,
+    ) -> Steward {
+        let folder = tempfile::tempdir().expect("a folder");
+        let path = folder.path().join("config.json");
+        let (held, listen) = listener();
+        drop(held);
+        std::fs::write(&path, config(listen, discovery, relay)).expect("written");
+        let mut command = so(platform(Some(&path)));
+        let log = std::fs::File::create(folder.path().join("log")).expect("a log");
+        let child = command.stderr(log).spawn().expect("the program");
+        Steward { child, config: path, listen, folder }
+    }
+
+    /// Tells it where discovery and relay are from now on.
+    pub fn moves(&self, discovery: SocketAddr, relay: SocketAddr) {
+        std::fs::write(&self.config, config(self.listen, discovery, relay)).expect("written");
+        self.signal("-HUP");
+    }
+
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.folder.path().join("log")).expect("its log")
+    }
+
+    /// Waits until its log has that so many times.
+    pub fn logs(&self, what: &str, times: usize) {
+        let until = Instant::now() + SOON;
+        while self.log().matches(what).count() < times {
+            assert!(Instant::now() < until, "'{what}' is not {times} times in: {}", self.log());
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// How it ended; none: it has not within that time.
+    pub fn exits_within(&mut self, limit: Duration) -> Option<ExitStatus> {
+        let until = Instant::now() + limit;
+        loop {
+            let ended = self.child.try_wait().expect("its state");
+            if ended.is_some() || Instant::now() > until {
+                return ended;
+            }
+            thread::sleep(Duration::from_millis(2));
+        }
+    }
+
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill").arg(name).arg(self.child.id().to_string()).status();
+        assert!(sent.expect("kill").success());
+    }
+
+    pub fn dial(&self) -> TcpStream {
+        let until = Instant::now() + SOON;
+        loop {
+            if let Ok(stream) = TcpStream::connect(self.listen) {
+                stream.set_read_timeout(Some(SOON)).expect("a limit");
+                return stream;
+            }
+            assert!(Instant::now() < until, "the steward cannot be reached");
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("its files").count()
+    }
+
+    /// KiB that it has in memory.
+    pub fn memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("its state");
+        let line = status.lines().find(|line| line.starts_with("VmRSS")).expect("its memory");
+        line.split_whitespace().nth(1).and_then(|count| count.parse().ok()).expect("a count")
+    }
+
+    /// Ends it, as a planned restart does; gives its log.
+    pub fn ends(mut self) -> String {
+        self.signal("-TERM");
+        let ended = self.child.wait().expect("its end");
+        let log = self.log();
+        assert!(ended.success(), "{log}");
+        log
+    }
+}
+
+pub fn platform(config: Option<&Path>) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_pondarch"));
+    command.arg("platform").stdout(Stdio::null()).stderr(Stdio::piped());
+    for name in ["RELAY_NAME", "RELAY_LISTEN", "RELAY_DISCOVERY", "RELAY_CONFIG"] {
+        command.env_remove(name);
+    }
+    if let Some(config) = config {
+        command.env("RELAY_CONFIG", config);
+    }
+    command
+}
+
+pub fn message(text: &str) -> Vec<u8> {
+    let words: Vec<&str> = text.split(' ').collect();
+    let word = |word: &&str| format!("${}\r\n{word}\r\n", word.len());
+    format!("*{}\r\n{}", words.len(), words.iter().map(word).collect::<String>()).into_bytes()
+}
+
+pub fn said(mut stream: TcpStream) -> String {
+    let mut all = Vec::new();
+    // A reset is a close too.
+    stream.read_to_end(&mut all).ok();
+    String::from_utf8_lossy(&all).into_owned()
+}
+
+pub fn wait_for(lines: &Lines, what: &str) -> String {
+    let until = Instant::now() + SOON;
+    loop {
+        let left = until.saturating_duration_since(Instant::now());
+        let line = lines.recv_timeout(left).unwrap_or_else(|_| panic!("'{what}' never came"));
+        if line.contains(what) {
+            return line;
+        }
+    }
+}
--- a/crates/platform-edge/src/calls.rs
+++ b/crates/platform-edge/src/calls.rs
@@ -9,7 +9,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep_until, timeout};
 
 /// An answer comes within 50 ms or never; this leaves room for a crowded machine.
 const ANSWER_LIMIT: Duration = Duration::from_millis(300);
@@ -22,32 +22,50 @@
 /// Dials, carries calls, dials again, until no more calls can come; the last one is carried to its end.
 pub(crate) async fn run(to: SocketAddr, age: u64, mut calls: mpsc::Receiver<Call>, say: mpsc::Sender<Told>) {
     loop {
-        match dial(to).await {
+        let dialled = Instant::now();
+        let down = match dial(to).await {
             Ok(stream) => {
                 // If the program is gone, nobody needs to know; that holds for all that is said here.
                 say.send((age, Word::CallsUp)).await.ok();
-                let Some(why) = talk(stream, age, &mut calls, &say).await else { return };
-                say.send((age, Word::CallsDown(why))).await.ok();
-            }
-            Err(why) => {
-                say.send((age, Word::CallsDown(Down::Lost(why.clone())))).await.ok();
-                let pause = sleep(DIAL_PAUSE);
-                tokio::pin!(pause);
-                loop {
-                    tokio::select! {
-                        () = &mut pause => break,
-                        call = calls.recv() => match call {
-                            Some((call, _)) => {
-                                let ended = Word::CallEnded { call, end: CallEnd::Refused, why: why.clone() };
-                                say.send((age, ended)).await.ok();
-                            }
-                            None => return,
-                        },
-                    }
+                match talk(stream, age, &mut calls, &say).await {
+                    Some(down) => down,
+                    None => return,
                 }
             }
+            Err(why) => Down::Lost(why),
+        };
+        let why = match &down {
+            Down::Idle => String::new(),
+            Down::Lost(why) => why.clone(),
+        };
+        say.send((age, Word::CallsDown(down))).await.ok();
+        // A relay that takes a connection and closes it at once was dialled again without end. One that has stood for
+        // longer than the pause is renewed at once.
+        if !pause(dialled + DIAL_PAUSE, &why, age, &mut calls, &say).await {
+            return;
+        }
+    }
+}
+
+/// Waits, and refuses calls meanwhile: nobody can carry them. Gives whether more calls can come.
+async fn pause(
+    until: Instant,
+    why: &str,
+    age: u64,
+    calls: &mut mpsc::Receiver<Call>,
+    say: &mpsc::Sender<Told>,
+) -> bool {
+    while Instant::now() < until {
+        tokio::select! {
+            () = sleep_until(until) => {}
+            call = calls.recv() => {
+                let Some((call, _)) = call else { return false };
+                let ended = Word::CallEnded { call, end: CallEnd::Refused, why: why.to_string() };
+                say.send((age, ended)).await.ok();
+            }
         }
     }
+    true
 }
 
 /// Calls on one connection; gives why it ended, or none if no more calls can come.
--- a/crates/platform-edge/src/clients.rs
+++ b/crates/platform-edge/src/clients.rs
@@ -14,8 +14,10 @@
 use tokio_util::codec::FramedRead;
 use tokio_util::task::AbortOnDropHandle;
 
-/// Who has not joined by then is closed.
+/// Who has not joined by then is closed; or by the second, if part of a message is there: where bytes come one at a
+/// time, a collector takes longer to name itself, and was closed each time. All are owed a close within 3 s.
 const JOIN_LIMIT: Duration = Duration::from_millis(1_000);
+const HALF_SAID_LIMIT: Duration = Duration::from_millis(2_000);
 /// A stranger does not go for another one sooner: its first message may be on its way, and be a collector's.
 const HEARD_OUT: Duration = Duration::from_millis(100);
 /// Bytes of a message of one who has not joined, and of one who has: a report takes some 300.
@@ -116,13 +118,19 @@
     stream.set_nodelay(true).ok();
     let (reading, mut writing) = stream.split();
     let mut messages = FramedRead::with_capacity(reading, WordsCodec { limit: STRANGER_BYTES }, 1024);
-    let limit = Instant::now() + JOIN_LIMIT;
+    let since = Instant::now();
+    let mut limit = since + JOIN_LIMIT;
     let (mut named, mut spoilt) = (false, 0);
     loop {
-        let next = if named { Ok(messages.next().await) } else { timeout_at(limit, messages.next()).await };
+        let next = match named {
+            true => Some(messages.next().await),
+            // A message that is there goes before the limit: one who asked without end was never closed.
+            false if Instant::now() >= limit => None,
+            false => timeout_at(limit, messages.next()).await.ok(),
+        };
         let words = match next {
-            Ok(Some(Ok(words))) => words,
-            Ok(Some(Err(wrong))) => {
+            Some(Some(Ok(words))) => words,
+            Some(Some(Err(wrong))) => {
                 let broken = matches!(wrong, pondarch_platform_wire::resp::FrameError::Io(_));
                 if broken {
                     return Gone::Broken;
@@ -130,8 +138,12 @@
                 refuse(&mut writing, named).await;
                 return Gone::Unreadable;
             }
-            Ok(None) => return Gone::Closed,
-            Err(_) => {
+            Some(None) => return Gone::Closed,
+            None if limit < since + HALF_SAID_LIMIT && !messages.read_buffer().is_empty() => {
+                limit = since + HALF_SAID_LIMIT;
+                continue;
+            }
+            None => {
                 refuse(&mut writing, named).await;
                 return Gone::NeverJoined;
             }
--- a/crates/platform-edge/src/discovery.rs
+++ b/crates/platform-edge/src/discovery.rs
@@ -9,11 +9,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// An empty line comes every 2 s. What is told counts as told 6 s later: silence is noticed well within that.
 const SILENCE_LIMIT: Duration = Duration::from_millis(2_500);
 const ANSWER_LIMIT: Duration = Duration::from_millis(1_000);
+/// From a line's first byte to its end. Bytes that come one by one are signs of life, and hid what half a line told
+/// for as long as they came; with a new connection, this too is within the 6 s.
+const LINE_LIMIT: Duration = Duration::from_millis(4_000);
 const PATH: &str = "/registry/instances";
 
 /// `since`: the version of what is known already at this address; none: all is asked for first, since an address
@@ -46,9 +49,11 @@
         Err(_) => return "no answer".into(),
     };
     let mut body = answer.into_body();
-    let mut held = BytesMut::new();
+    let (mut held, mut begun) = (BytesMut::new(), None);
     loop {
-        let frame = match timeout(SILENCE_LIMIT, body.frame()).await {
+        let silent = Instant::now() + SILENCE_LIMIT;
+        let limit = begun.map_or(silent, |begun: Instant| silent.min(begun + LINE_LIMIT));
+        let frame = match timeout_at(limit, body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(wrong))) => return wrong.to_string(),
             Ok(None) => return "closed by discovery".into(),
@@ -59,15 +64,21 @@
         held.extend_from_slice(&data);
         while let Some(end) = held[from..].iter().position(|&byte| byte == b'\n').map(|at| at + from) {
             let line = held.split_to(end + 1);
-            from = 0;
+            (from, begun) = (0, None);
             if line.iter().all(u8::is_ascii_whitespace) {
                 continue;
             }
             match registry::read(&line) {
+                // It numbers otherwise than before, or we have missed something: changes alone would be taken for old ones.
+                Ok(listed) if !listed.whole && since.is_some_and(|held| listed.generation < held) => {
+                    *since = None;
+                    return "changes older than the list".into();
+                }
                 Ok(listed) => tell(listed, age, since, say).await,
                 Err(wrong) => return wrong.to_string(),
             }
         }
+        begun = if held.is_empty() { None } else { begun.or_else(|| Some(Instant::now())) };
         if held.len() > LIST_MOST {
             return "a line without end".into();
         }
--- a/crates/platform-edge/src/parties.rs
+++ b/crates/platform-edge/src/parties.rs
@@ -1,5 +1,5 @@
 //! The connections to discovery and relay. When these move, the new ones are dialled while the old ones still stand, and
-//! each old one goes when its new one serves.
+//! each old one goes when its new one serves: a discovery once it has told its list, a relay once it tells its news.
 
 use crate::calls::{self, Call};
 use crate::word::{Told, Word};
@@ -29,11 +29,16 @@
 struct Caller {
     calls: mpsc::Sender<Call>,
     up: bool,
+    /// Whether that relay has begun to tell its news. One that merely accepts connections may answer nothing at all.
+    tells: bool,
 }
 
 impl<T> Moving<T> {
+    /// Of two moves in a row the first one's party goes, which never served; what still serves stays. It went with
+    /// the second move, and nothing served until the third party did.
     fn to(&mut self, age: u64, next: T) {
-        self.before = Some(std::mem::replace(&mut self.now, (age, next)));
+        let last = std::mem::replace(&mut self.now, (age, next));
+        self.before.get_or_insert(last);
     }
 
     /// Whether a word from there counts; the new one's first good word ends the old one.
@@ -80,29 +85,40 @@
         match word {
             Word::Listed(_) => self.lists.counts(age, true),
             Word::ListLost(_) => self.lists.counts(age, false),
-            Word::NewsBegan => self.news.counts(age, true),
+            Word::NewsBegan => {
+                self.caller(age, |caller| caller.tells = true);
+                self.news.counts(age, true)
+            }
             Word::News(_) | Word::NewsLost(_) => self.news.counts(age, false),
             Word::CallsUp | Word::CallsDown(_) => {
                 let up = matches!(word, Word::CallsUp);
-                let callers = [Some(&mut self.calls.now), self.calls.before.as_mut()];
-                for (_, caller) in callers.into_iter().flatten().filter(|(of, _)| *of == age) {
-                    caller.up = up;
-                }
-                self.calls.counts(age, up)
+                self.caller(age, |caller| caller.up = up)
             }
             _ => true,
         }
     }
 
+    /// Notes something of the caller of that age; gives whether its words still count.
+    fn caller(&mut self, age: u64, note: impl Fn(&mut Caller)) -> bool {
+        let callers = [Some(&mut self.calls.now), self.calls.before.as_mut()];
+        callers.into_iter().flatten().filter(|(of, _)| *of == age).for_each(|(_, caller)| note(caller));
+        let serves = self.calls.now.1.up && self.calls.now.1.tells;
+        self.calls.counts(age, serves)
+    }
+
+    /// Who takes calls: what served before, until the new one is known to serve.
+    fn serving(&self) -> Option<&Caller> {
+        let before = self.calls.before.as_ref().map(|(_, caller)| caller);
+        [before, Some(&self.calls.now.1)].into_iter().flatten().find(|caller| caller.up)
+    }
+
     pub(crate) fn can_call(&self) -> bool {
-        self.calls.now.1.up || self.calls.before.as_ref().is_some_and(|(_, caller)| caller.up)
+        self.serving().is_some()
     }
 
     /// Hands a call over; gives it back if nobody can take it.
     pub(crate) fn call(&self, call: Call) -> Result<(), Call> {
-        let before = self.calls.before.as_ref().map(|(_, caller)| caller);
-        let up = [Some(&self.calls.now.1), before].into_iter().flatten().find(|caller| caller.up);
-        let Some(caller) = up else { return Err(call) };
+        let Some(caller) = self.serving() else { return Err(call) };
         caller.calls.try_send(call).map_err(|wrong| wrong.into_inner())
     }
 }
@@ -120,5 +136,5 @@
     // One call is under way at most.
     let (calls, queue) = mpsc::channel(1);
     tasks.spawn(calls::run(around.relay, age, queue, say.clone()));
-    Caller { calls, up: false }
+    Caller { calls, up: false, tells: false }
 }
--- a/crates/platform-edge/src/program.rs
+++ b/crates/platform-edge/src/program.rs
@@ -8,7 +8,7 @@
 use pondarch::types::HostId;
 use pondarch_edge_kit::Clock;
 use pondarch_platform_steward::{CallEnd, Core, Input, Output, Tally};
-use pondarch_platform_wire::config::{self, Config, ConfigError, Env};
+use pondarch_platform_wire::config::{self, Around, Config, ConfigError, Env};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -51,12 +51,13 @@
     let var = |name| std::env::var(name).ok().filter(|value| !value.is_empty());
     let env = Env { name: var("RELAY_NAME"), listen: var("RELAY_LISTEN"), discovery: var("RELAY_DISCOVERY") };
     let path = PathBuf::from(var("RELAY_CONFIG").ok_or(PlatformError::NoConfig)?);
-    let text = std::fs::read(&path).map_err(|wrong| PlatformError::Read(path.clone(), wrong))?;
-    let config = config::read(&text, &env).map_err(|wrong| PlatformError::Config(path.clone(), wrong))?;
-    drop(text);
+    // Followed before anything is read: a SIGHUP while the file was being read ended the steward, or was not heard.
     let mut stop = signal(SignalKind::terminate()).map_err(PlatformError::Signals)?;
     let mut stop_too = signal(SignalKind::interrupt()).map_err(PlatformError::Signals)?;
     let mut moved = signal(SignalKind::hangup()).map_err(PlatformError::Signals)?;
+    let text = std::fs::read(&path).map_err(|wrong| PlatformError::Read(path.clone(), wrong))?;
+    let config = config::read(&text, &env).map_err(|wrong| PlatformError::Config(path.clone(), wrong))?;
+    drop(text);
     let listen = |wrong| PlatformError::Listen(config.listen, wrong);
     let listener = listen_at(config.listen).map_err(listen)?;
     let mut steward = Program::start(config);
@@ -68,8 +69,9 @@
         steward.carry_out();
         let accept_from = steward.clients.room_from().map_or(paused_until, |room| room.max(paused_until));
         let wake = steward.core.wake_at().map(|at| Instant::from_std(steward.clock.instant(at)));
+        // In no order of rank: while collectors bring reports faster than they can be read, words are always there, and
+        // whoever asked for a sign of life, or a new configuration, waited until the flood was over.
         tokio::select! {
-            biased;
             _ = stop.recv() => break,
             _ = stop_too.recv() => break,
             _ = moved.recv() => (read_again, told_of_config) = (Some(Instant::now()), false),
@@ -81,7 +83,7 @@
                 match around {
                     Ok(around) => {
                         info!(discovery = %around.discovery, relay = %around.relay, "configuration read again");
-                        steward.parties.moved(around);
+                        steward.moved(around);
                         read_again = None;
                     }
                     Err(wrong) => {
@@ -164,6 +166,12 @@
         }
     }
 
+    fn moved(&mut self, around: Around) {
+        self.parties.moved(around);
+        // What served may not be among the parties any more.
+        self.core.handle(self.clock.now(), Input::Relay { up: self.parties.can_call() });
+    }
+
     fn carry_out(&mut self) {
         while let Some(output) = self.core.next_output(self.clock.now()) {
             match output {
