--- a/src/decide.rs
+++ b/src/decide.rs
@@ -34,13 +34,13 @@
 const BEAT: Span = Span::from_millis(250);
 const GATHER: Span = Span::from_millis(1_000);
 const HURRY: Span = Span::from_millis(200);
-/// Parts of the message cap for ordinary and hurried pushes; messages for drains alone: no drain may wait. The
-/// first is also the part of the queue, at the channel's stated rate, from which nothing but drains goes out.
+/// Parts of the message cap for ordinary and hurried pushes; messages for drains alone: no drain may wait.
+/// The first is also the part of the queue, at the channel's stated rate, from which only drains go out.
 const ORDINARY_PART: f64 = 0.75;
 const JAM_PART: f64 = 0.8;
 const DRAIN_RESERVE: usize = 2;
-/// Part of the lines that may wait which ordinary differences fill while the channel is this many times slower
-/// than stated (slow spells happen), and hurried ones at its stated rate: all proxies may come to one steward.
+/// Part of the lines that may wait which ordinary differences fill while the channel is this many times
+/// slower than stated (slow spells happen), and hurried ones as stated: all proxies may come to one steward.
 const QUEUE_PART: f64 = 0.5;
 const SLOW_CHANNEL: f64 = 8.0;
 /// Part by which a weight is off before it is sent (less is not noticed); multiple of its due: a hazard.
