--- a/crates/cli/tests/platform/ends.rs
+++ b/crates/cli/tests/platform/ends.rs
@@ -1,9 +1,8 @@
 //! Its ends: signals while a call, a start or a move is under way.
 
-use crate::party::{Party, Served, off};
+use crate::party::{Party, Served, caller_with_a_call, narrow_listener, off};
 use crate::stage::*;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
 use std::process::Command;
 use std::time::Duration;
 
@@ -31,25 +30,10 @@
 /// The relay has the first bytes of a call and reads no further; what it has by the end is no line.
 #[test]
 fn a_call_half_way_out_holds_no_end_up() {
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    socket.set_recv_buffer_size(2_048).expect("set");
-    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().expect("an address").into()).expect("bound");
-    socket.listen(8).expect("listens");
-    let relay = TcpListener::from(socket);
+    let (relay, at) = narrow_listener();
     let (discovery, _asked) = discovery(1);
-    let steward = Steward::start(discovery, relay.local_addr().expect("an address"));
-    let accept = || relay.accept().expect("a connection").0;
-    let (mut caller, mut news) = (accept(), accept());
-    // Before anybody has joined only one of them says something.
-    caller.set_read_timeout(Some(Duration::from_millis(200))).expect("a limit");
-    if caller.read(&mut [0; 64]).is_ok() {
-        std::mem::swap(&mut caller, &mut news);
-    }
-    // Twenty proxies join at once: binds and lines that take more than the window.
-    let mut said = "{\"jsonrpc\":\"2.0\",\"id\":0,\"result\":true}\n".to_string();
-    (0..20).for_each(|proxy| said += &crate::party::joined(proxy));
-    news.write_all(said.as_bytes()).expect("written");
-    caller.set_read_timeout(Some(SOON)).expect("a limit");
+    let steward = Steward::start(discovery, at);
+    let mut caller = caller_with_a_call(&relay);
     caller.read_exact(&mut [0; 16]).expect("the call has begun");
     ends_in_time(steward, "-TERM");
 }
--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -12,3 +12,4 @@
 mod relay;
 mod serving;
 mod stage;
+mod starts;
--- a/crates/cli/tests/platform/party.rs
+++ b/crates/cli/tests/platform/party.rs
@@ -5,7 +5,7 @@
 use serde_json::Value;
 use socket2::SockRef;
 use std::collections::VecDeque;
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, channel};
 use std::sync::{Arc, Mutex};
@@ -233,6 +233,36 @@
     }
 }
 
+/// A listener whose connections take in little at a time, and where it listens.
+pub fn narrow_listener() -> (TcpListener, SocketAddr) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(2_048).expect("set");
+    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().expect("an address").into()).expect("bound");
+    socket.listen(8).expect("listens");
+    let listener = TcpListener::from(socket);
+    let at = listener.local_addr().expect("an address");
+    (listener, at)
+}
+
+/// Accepts as a relay, and lets twenty proxies join at once: binds and lines that take more than a narrow window. Gives
+/// the connection with that call on it, nothing of it read yet.
+pub fn caller_with_a_call(relay: &TcpListener) -> TcpStream {
+    let accept = || relay.accept().expect("a connection").0;
+    let (mut caller, mut news) = (accept(), accept());
+    // Before anybody has joined only one of them says something.
+    caller.set_read_timeout(Some(Duration::from_millis(200))).expect("a limit");
+    if caller.read(&mut [0; 64]).is_ok() {
+        std::mem::swap(&mut caller, &mut news);
+    }
+    let mut said = "{\"jsonrpc\":\"2.0\",\"id\":0,\"result\":true}\n".to_string();
+    (0..20).for_each(|proxy| said += &joined(proxy));
+    news.write_all(said.as_bytes()).expect("written");
+    // Held open to the end of the test's process: news go on, silent.
+    std::mem::forget(news);
+    caller.set_read_timeout(Some(SOON)).expect("a limit");
+    caller
+}
+
 /// The order that takes host `n` of the first list off a table.
 pub fn off(n: usize) -> String {
     format!("\"target\":\"s-1-{n}\",\"rps\":0.0")
--- a/crates/cli/tests/platform/relay.rs
+++ b/crates/cli/tests/platform/relay.rs
@@ -1,7 +1,9 @@
 //! Calls and news: answers too late or of another call, cuts in the worst moment, a relay that closes at once.
 
-use crate::party::{ALIVE, Party, Served, answer, joined, off};
+use crate::party::{ALIVE, Party, Served, answer, caller_with_a_call, joined, narrow_listener, off};
 use crate::stage::*;
+use socket2::SockRef;
+use std::io::{BufRead, BufReader, Read};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::thread;
@@ -76,6 +78,31 @@
     }
 }
 
+/// The connection breaks with part of a call on it: what was in it is ordered again on the next one.
+#[test]
+fn a_cut_before_the_last_byte_is_made_good() {
+    let (relay, at) = narrow_listener();
+    let (discovery, _asked) = discovery(1);
+    let steward = Steward::start(discovery, at);
+    let mut caller = caller_with_a_call(&relay);
+    caller.read_exact(&mut [0; 16]).expect("the call has begun");
+    SockRef::from(&caller).set_linger(Some(Duration::ZERO)).expect("set");
+    drop(caller);
+    loop {
+        let (next, _) = relay.accept().expect("the next connection");
+        next.set_read_timeout(Some(SOON)).expect("a limit");
+        let mut line = String::new();
+        // News may be asked for anew in between.
+        BufReader::new(next).read_line(&mut line).expect("a line");
+        if line.contains("relay.apply") {
+            let binds = line.matches("\"verb\":\"bind\"").count();
+            assert_eq!(binds, 20, "{line}");
+            break;
+        }
+    }
+    steward.ends();
+}
+
 /// News break between what stands and the first sign of life. Whom only the broken list named has left.
 #[test]
 fn news_cut_before_the_first_sign_of_life_leave_no_ghosts() {
--- a/crates/platform-steward/tests/relay_town.rs
+++ b/crates/platform-steward/tests/relay_town.rs
@@ -32,6 +32,24 @@
     assert!(town.calls > 1, "one call cannot hold all that");
 }
 
+/// A restart while most hosts are cold: four hundred proxies join within a second, many of them unsure of what they hold.
+/// Each has a host, no cold one has more than its part, and nobody is told more often than may be.
+#[test]
+fn all_join_a_steward_that_just_started_while_hosts_are_cold() {
+    let mut town = Town::open(30, 400);
+    (0..20).for_each(|n| town.restarts(n));
+    for tenth in 0..10u16 {
+        (0..40).for_each(|n| town.joins(tenth * 40 + n, n % 3 == 0));
+        town.run(100);
+    }
+    for _ in 0..20 {
+        town.run(1_000);
+        town.check();
+        town.check_cap();
+    }
+    assert_eq!(town.bound.len(), 400);
+}
+
 /// Before the run the relay is busy: nothing is lost, and nobody asks in circles.
 #[test]
 fn a_busy_relay_is_asked_again_at_a_calm_pace() {
