The order that takes a host off a table is looked for to its end

The test looked for '"rps":0.0', with which a part of 0.05 begins as well; it now asks for the closing brace, as does the older test of a silent watch.

--- a/crates/cli/tests/platform/party.rs
+++ b/crates/cli/tests/platform/party.rs
@@ -265,5 +265,6 @@
 
 /// The order that takes host `n` of the first list off a table.
 pub fn off(n: usize) -> String {
-    format!("\"target\":\"s-1-{n}\",\"rps\":0.0")
+    // To its end: a small part of a host begins with the same digits.
+    format!("\"target\":\"s-1-{n}\",\"rps\":0.0}}")
 }
--- a/crates/cli/tests/platform/serving.rs
+++ b/crates/cli/tests/platform/serving.rs
@@ -98,7 +98,7 @@
     let steward = Steward::start(discovery_at, relay_at);
     wait_for(&calls, "\"target\":\"s-1-3\"");
     let before = Instant::now();
-    wait_for(&calls, "\"target\":\"s-1-3\",\"rps\":0");
+    wait_for(&calls, "\"target\":\"s-1-3\",\"rps\":0.0}");
     assert!(before.elapsed() < Duration::from_secs(4), "{:?}", before.elapsed());
     steward.ends();
 }
