A short table takes who comes into it along, however long the queue

Checked: while the queue is past half, send_table() sent losses and too heavy lines alone, so tables shrank from wave to wave: in the decisions' test down to a single host, which then takes all that its proxies bring, cold or not. Now only a table with fewer hosts that serve than the design's least takes them along.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -737,7 +737,7 @@
         let passed = (now - std::mem::replace(&mut self.waiting_at, now)).secs();
         let rates = self.waiting.iter_mut().zip(&self.ready.channel);
         rates.for_each(|(waiting, rate)| *waiting = (*waiting - passed * rate).max(0.0));
-        let (mut need, mut serves) = (vec![Need::Nothing; self.boards.len()], vec![false; self.boards.len()]);
+        let (mut need, mut serves) = (vec![Need::Nothing; self.boards.len()], vec![0; self.boards.len()]);
         for host in &self.hosts {
             let (open, usable) = (self.ready.open(host, now), self.ready.usable(host, now));
             let cold = self.ready.ramp(host, now) < 1.0;
@@ -752,7 +752,7 @@
                     _ => Need::Nothing,
                 };
                 need[place.table] = need[place.table].max(why);
-                serves[place.table] |= usable && place.sent > 0.0 && !place.unsure;
+                serves[place.table] += usize::from(usable && place.sent > 0.0 && !place.unsure);
             }
         }
         let mut go: Vec<usize> = (0..self.boards.len()).filter(|&t| self.boards[t].bound > 0).collect();
@@ -763,7 +763,7 @@
                 need[t] = need[t].max(Need::Ordinary);
             }
             // A table that has run empty is refilled as fast as a drain goes out.
-            if need[t] > Need::Nothing && !serves[t] {
+            if need[t] > Need::Nothing && serves[t] == 0 {
                 need[t] = Need::Drain;
             }
             board.differs_since = board.differs_since.or(Some(now)).filter(|_| need[t] > Need::Nothing);
@@ -788,17 +788,18 @@
                 Need::Ordinary => gathered(self.ready.gather) && under(ORDINARY_PART) && slow < QUEUE_PART,
             };
             if due {
-                self.send_table(t, serves[t] && stated >= QUEUE_PART);
+                self.send_table(t, serves[t] > 0 && stated >= QUEUE_PART, serves[t] < TABLE_LEAST);
             }
         }
     }
 
-    /// The differences of one table, to all who use it; or only those that put a host at risk.
-    fn send_table(&mut self, t: usize, risks: bool) {
+    /// The differences of one table, to all who use it; or only those that put a host at risk, who comes into
+    /// a short table among them: all that its proxies bring fell to the few left, and pushed cold ones over.
+    fn send_table(&mut self, t: usize, risks: bool, short: bool) {
         let (now, table, mut lines) = (self.now, TableId(t as u16), 0.0);
         for host in &mut self.hosts {
-            let goes = |p: &Place| off(p) && (!risks || p.unsure || p.sent > p.want * HAZARD);
-            for place in host.places.iter_mut().filter(|p| p.table == t && goes(p)) {
+            let risk = |p: &Place| p.unsure || p.sent > p.want * HAZARD || short && p.sent == 0.0;
+            for place in host.places.iter_mut().filter(|p| p.table == t && off(p) && (!risks || risk(p))) {
                 (place.sent, place.unsure) = (place.want, false);
                 lines += 1.0;
                 let weight = (place.want > 0.0).then_some(place.want);
@@ -848,7 +849,7 @@
                 }
                 // What nobody held may be old.
                 if self.boards[t].bound == 0 {
-                    self.send_table(t, false);
+                    self.send_table(t, false, false);
                     self.boards[t].messages.clear();
                 }
                 self.boards[t].bound += 1;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -230,6 +230,11 @@
         open.map(|(_, host)| host.clone()).collect()
     }
 
+    /// Hosts of the table in use that has the fewest.
+    pub fn smallest_table(&self) -> usize {
+        self.used().into_iter().map(|table| self.hosts_of(table).len()).min().unwrap_or(0)
+    }
+
     fn warm(&self, host: &Listing) -> bool {
         host.standing == Standing::Open
             && (host.started.is_unset() || self.time() - host.started >= ms(18_000))
