Tests: each steward listens at a loopback address of its own

The stage took a free port and let go of it before the steward listened; any connection may get it in between. Likely, not proven: the log of that steward is gone with its folder. Now each has an address of its own in 127.0.0.0/8 and a fixed port.

--- a/crates/cli/tests/platform/stage.rs
+++ b/crates/cli/tests/platform/stage.rs
@@ -184,8 +184,11 @@
     ) -> Steward {
         let folder = tempfile::tempdir().expect("a folder");
         let path = folder.path().join("config.json");
-        let (held, listen) = listener();
-        drop(held);
+        // An address of its own: a port that was merely free a moment ago may be some other connection's by now.
+        static STARTED: AtomicUsize = AtomicUsize::new(0);
+        let (n, id) = (STARTED.fetch_add(1, Relaxed), std::process::id());
+        let listen =
+            SocketAddr::from(([127, 1 + (id % 250) as u8, (n / 250) as u8, 1 + (n % 250) as u8], 7070));
         std::fs::write(&path, config(listen, discovery, relay)).expect("written");
         let mut command = so(platform(Some(&path)));
         let log = std::fs::File::create(folder.path().join("log")).expect("a log");
