--- a/crates/cli/tests/platform/clients.rs
+++ b/crates/cli/tests/platform/clients.rs
@@ -98,7 +98,7 @@
     site.steward.ends();
 }
 
-/// Six collectors bring reports as fast as they are read, all the while. A sign of life, a new configuration and a
+/// Three collectors bring reports as fast as they are read, all the while. A sign of life, a new configuration and a
 /// drain are not behind them: the loop took reports first, and whoever asked waited until the flood was over.
 #[test]
 fn a_flood_of_reports_starves_nobody() {
