Tests: the flood's watch is kept alive until the drain is told

Cause, by a probe: the watch had one sign of life at its start, and twenty pings took longer than the 2.5 s that a watch may be silent; it was renewed, and the drain went to the connection that was left. No assertion changed.

--- a/crates/cli/tests/platform/clients.rs
+++ b/crates/cli/tests/platform/clients.rs
@@ -119,6 +119,8 @@
         .collect();
     site.steward.logs("collector site=", 3);
     for _ in 0..20 {
+        // On a busy machine this takes longer than a watch may be silent; one that was renewed would not hear the drain.
+        site.discovery.piece(site.watch, "\n");
         assert!(pong(&site.steward) < Duration::from_secs(1));
     }
     site.drains(2, 3);
