The channel to the proxies is counted by reason and measured by marks, in the log

The log could not tell the candidate causes apart: nothing said what a steward believes to wait in its channel, what its lines were for, or what it held back.

The count moves from decide.rs into src/decide/channel.rs, unchanged in what it lets out. New: lines and held-back updates by reason; one round in half a second carries a mark, whose answer (applied) confirms all lines before it; a line 'channel' every two seconds; the reason of a failed accept.

--- a/crates/job-ticket/src/lib.rs
+++ b/crates/job-ticket/src/lib.rs
@@ -115,6 +115,7 @@
         must_ask: all["discovery"] == "on_request",
         ask_within: span(&rules["askWithin"]),
         orders_together: 0,
+        marks: true,
         probes: limits["probes"].as_bool().unwrap_or(false),
         report_every: span(&family["reportEvery"]),
         start_capacity: number(&rules["startCapacity"]),
--- a/crates/platform-edge/src/program.rs
+++ b/crates/platform-edge/src/program.rs
@@ -5,7 +5,7 @@
 use crate::parties::Parties;
 use crate::probes::Probes;
 use crate::word::{Down, Told, Word};
-use pondarch::types::HostId;
+use pondarch::types::{ChannelReport, HostId};
 use pondarch_edge_kit::Clock;
 use pondarch_platform_steward::{CallEnd, Core, Input, Output, Tally};
 use pondarch_platform_wire::config::{self, Around, Config, ConfigError, Env};
@@ -31,6 +31,8 @@
 const TALLY_EVERY: Duration = Duration::from_secs(2);
 /// After connections could not be accepted: out of descriptors, say.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Part of the lines that may wait in the channel from which a full queue is announced in the log.
+const CHANNEL_NEARLY_FULL: f64 = 0.75;
 
 #[derive(Debug, Error)]
 pub enum PlatformError {
@@ -104,7 +106,10 @@
                     // Many that come at once do not keep those from being read that came before.
                     yield_now().await;
                 }
-                Err(_) => paused_until = Instant::now() + ACCEPT_PAUSE,
+                Err(wrong) => {
+                    steward.say(|| warn!(%wrong, "a connection was not accepted"));
+                    paused_until = Instant::now() + ACCEPT_PAUSE;
+                }
             },
             () = sleep_until(accept_from), if Instant::now() < accept_from => {}
         }
@@ -142,6 +147,7 @@
     tally: Tally,
     /// Since calls could be made last, and at first.
     calls_lost: bool,
+    channel_nearly_full: bool,
 }
 
 impl Program {
@@ -163,6 +169,7 @@
             lines: Lines::new(),
             tally: Tally::default(),
             calls_lost: true,
+            channel_nearly_full: false,
         }
     }
 
@@ -266,6 +273,7 @@
             flow = format!("{:.1} of {:.1}", glance.flow.1, glance.flow.0),
             "believes"
         );
+        self.tell_channel(&glance.channel);
         let tally = self.core.tally();
         if *tally != self.tally {
             let ended = &self.clients.ended;
@@ -273,4 +281,24 @@
             self.tally = tally.clone();
         }
     }
+
+    /// Says what is known of the channel to the proxies, and when it begins or ceases to be nearly full.
+    fn tell_channel(&mut self, channel: &ChannelReport) {
+        let waiting = channel.unconfirmed.unwrap_or(channel.waiting_at_stated_rate);
+        let nearly_full = waiting > channel.line_limit * CHANNEL_NEARLY_FULL;
+        if nearly_full != std::mem::replace(&mut self.channel_nearly_full, nearly_full) {
+            warn!(nearly_full, waiting, limit = channel.line_limit, "channel queue");
+        }
+        info!(
+            line_limit = channel.line_limit,
+            at_stated_rate = channel.waiting_at_stated_rate.round(),
+            at_slow_rate = channel.waiting_at_slow_rate.round(),
+            unconfirmed = channel.unconfirmed.map(f64::round),
+            delay_ms = channel.last_delay.as_micros() / 1_000,
+            marks_answered = channel.marks_answered,
+            sent_for = ?channel.sent_for,
+            held_back_for = ?channel.held_back_for,
+            "channel"
+        );
+    }
 }
--- a/crates/platform-steward/src/core.rs
+++ b/crates/platform-steward/src/core.rs
@@ -201,6 +201,10 @@
                     self.steward.proxy_left(now, proxy);
                 }
             }
+            News::Applied { mark, .. } => {
+                self.tally.marks_applied += 1;
+                self.steward.mark_applied(now, mark);
+            }
             News::Other => {}
         }
     }
--- a/crates/platform-steward/src/tally.rs
+++ b/crates/platform-steward/src/tally.rs
@@ -14,6 +14,7 @@
     pub stopped: u64,
     pub not_taken: u64,
     pub unknown: u64,
+    pub marks_applied: u64,
     pub reports: u64,
     /// Tries and reqs that these told of.
     pub tries: u64,
--- a/crates/platform-steward/tests/town/mod.rs
+++ b/crates/platform-steward/tests/town/mod.rs
@@ -47,6 +47,8 @@
     messages: BTreeMap<ProxyId, Vec<u64>>,
     forgiven: u64,
     empty_since: BTreeMap<ProxyId, u64>,
+    /// Marks that were ordered, by their numbers.
+    pub marks: Vec<u16>,
 }
 
 fn name(n: usize) -> String {
@@ -91,6 +93,7 @@
             messages: BTreeMap::new(),
             forgiven: now,
             empty_since: BTreeMap::new(),
+            marks: Vec::new(),
         };
         town.tells_all();
         town.core.handle(town.time(), Input::Relay { up: true });
@@ -160,6 +163,10 @@
     }
 
     fn order(&mut self, order: &Value, told: &mut BTreeSet<ProxyId>) -> bool {
+        if order["verb"] == "mark" {
+            self.marks.push(order["nonce_out"].as_u64().expect("a number") as u16);
+            return true;
+        }
         let table = order["cluster"].as_u64().expect("a table") as u16;
         match order["verb"].as_str() {
             Some("share") => {
--- a/crates/platform-wire/src/relay.rs
+++ b/crates/platform-wire/src/relay.rs
@@ -1,6 +1,6 @@
 //! The relay: JSON-RPC 2.0, one object a line. Calls with orders; their answers; news of proxies.
 
-use pondarch::types::{KindId, ProxyId, Ruling};
+use pondarch::types::{KindId, MarkId, ProxyId, Ruling};
 use pondarch_job_ticket::number_of_tries;
 use serde::Serialize;
 use serde_json::Value;
@@ -32,8 +32,18 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum News {
-    Joined { proxy: ProxyId, site: String, usual: f64, fresh: bool },
+    Joined {
+        proxy: ProxyId,
+        site: String,
+        usual: f64,
+        fresh: bool,
+    },
     Left(ProxyId),
+    /// A proxy has applied a message that carried this mark.
+    Applied {
+        proxy: ProxyId,
+        mark: MarkId,
+    },
     Ping,
     Other,
 }
@@ -58,6 +68,11 @@
         admit: f64,
         policy: usize,
     },
+    Mark {
+        nonce_out: u16,
+        /// 1: all joined proxies are asked; 0: those whom this call reaches.
+        flag: u8,
+    },
 }
 
 /// A ruling as an order to the relay; none if it is not for the relay.
@@ -76,6 +91,7 @@
             admit: *quota,
             policy: number_of_tries(*tries),
         },
+        Ruling::Mark(mark) => Order::Mark { nonce_out: mark.0, flag: 0 },
         Ruling::Probe(_) | Ruling::FollowList | Ruling::WakeIn(_) => return None,
     };
     serde_json::to_string(&order).ok()
@@ -124,6 +140,9 @@
             fresh: flag(&params["new"]),
         }),
         "left" => Some(News::Left(proxy()?)),
+        "applied" => {
+            Some(News::Applied { proxy: proxy()?, mark: MarkId(params["seq"].as_u64()?.try_into().ok()?) })
+        }
         "ping" => Some(News::Ping),
         _ => Some(News::Other),
     }
--- a/crates/pondarch-benchlink/src/encode.rs
+++ b/crates/pondarch-benchlink/src/encode.rs
@@ -15,6 +15,7 @@
         Ruling::Level { table, kind, quota, tries } => {
             writeln!(out, "VALVE\t{}\t{}\t{}\t{}", 1u64 << kind.0, number_of_tries(*tries), quota, table.0)
         }
+        Ruling::Mark(mark) => writeln!(out, "SEAL\t{}\t0", mark.0),
         Ruling::Probe(host) => writeln!(out, "INSPECT\t{}", host.0),
         Ruling::FollowList => writeln!(out, "TRACK\t1"),
         Ruling::WakeIn(span) => writeln!(out, "WAKE_AT\t{}\tbeat", span.as_micros()),
--- a/crates/pondarch-benchlink/src/main.rs
+++ b/crates/pondarch-benchlink/src/main.rs
@@ -6,7 +6,7 @@
 
 use decode::{Lists, Row};
 use pondarch::Steward;
-use pondarch::types::{KindId, ProxyId, Time};
+use pondarch::types::{KindId, MarkId, ProxyId, Time};
 use pondarch_job_ticket::Names;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, BufRead, BufWriter, Write};
@@ -211,7 +211,7 @@
                     steward.reqs_came(now, proxy, KindId(kind), many, over);
                 }
             }
-            // Sliced sites, messages of peers and marks: read and checked; nothing is decided by them yet.
+            // Sliced sites and messages of peers: read and checked; nothing is decided by them yet.
             "HOTNESS" => {
                 row.count("errors")?;
                 row.small("routeTable")?;
@@ -230,8 +230,9 @@
             }
             "APPLIED" => {
                 row.small("sidecar")?;
-                row.small("rev")?;
+                let mark = MarkId(row.small("rev")?);
                 row.span("took")?;
+                steward.mark_applied(now, mark);
             }
             "NEIGHBOUR_SAYS" => {
                 row.whole("originPeer")?;
--- a/crates/steward/src/follow.rs
+++ b/crates/steward/src/follow.rs
@@ -73,8 +73,8 @@
                         self.out.push_back(Output::Probe { host, addr, for_load: false });
                     }
                 }
-                // The list is followed by the edge at all times.
-                Ruling::FollowList => {}
+                // The list is followed by the edge at all times; a session knows by itself what its proxy has applied.
+                Ruling::FollowList | Ruling::Mark(_) => {}
                 Ruling::WakeIn(span) => self.woken_at = Some(self.now + span),
             }
         }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -5,9 +5,11 @@
 //! `reqs_came`, `probe_answered`, `carried_out`, `woke`) that only note what is known; after each round of
 //! them `next` until it gives `None`. The types of both directions are in `types.rs`; it knows no wire.
 
+mod channel;
 mod glance;
 
 use crate::types::*;
+use channel::{Channel, UpdateReason};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 // ---- Constants: unit, and why this size ---------------------------------------------------------------
@@ -141,8 +143,7 @@
     woken: bool,
     last_beat: Time,
     follow_at: Option<Time>,
-    waiting: [f64; 2],
-    waiting_at: Time,
+    channel: Channel,
     news: bool,
     out: VecDeque<Ruling>,
 }
@@ -153,16 +154,17 @@
         // even replayable kinds gain nothing: the wait for it cuts slow answers short, and it feeds jams.
         let told = (ticket.base_tries == Some(Tries::AgainIfNeverRun)).then_some(1.0);
         let (kinds, proxies, must_ask) = (ticket.kinds.len(), ticket.proxies, ticket.must_ask);
-        let (channel, ask_within) = (ticket.channel_rate.max(1.0), ticket.ask_within);
+        let ask_within = ticket.ask_within;
+        let channel = Channel::new(&ticket);
         let mut ready = Makeready::from_ticket(ticket);
         ready.shared_tables = (proxies.saturating_sub(1) / PROXIES_PER_TABLE).max(1) as usize;
-        ready.channel = [channel / SLOW_CHANNEL, channel];
         ready.gather = GATHER.max(ready.window.times(1.0 / (ready.cap as f64 * ORDINARY_PART).max(1.0)));
         ready.report_every = ready.report_every.max(BEAT);
         ready.ask_again = must_ask.then(|| ask_within.times(ASK_PART).max(GATHER));
         let board = Board { levels_sent: vec![told; kinds], ..Board::default() };
         Steward {
             chance: fastrand::Rng::with_seed(seed),
+            channel,
             levels: vec![1.0; kinds],
             boards: vec![board; ready.all_tables()],
             lag: ready.report_every.secs(),
@@ -288,7 +290,7 @@
                 Ruling::Level { table, kind, .. } => {
                     self.boards[table.0 as usize].levels_sent[kind.0 as usize] = None;
                 }
-                Ruling::Probe(_) | Ruling::FollowList | Ruling::WakeIn(_) => {}
+                Ruling::Mark(_) | Ruling::Probe(_) | Ruling::FollowList | Ruling::WakeIn(_) => {}
             }
         }
     }
@@ -346,6 +348,11 @@
         }
     }
 
+    /// A proxy has applied a message that carried this mark.
+    pub fn mark_applied(&mut self, now: Time, mark: MarkId) {
+        self.channel.mark_applied(now, mark);
+    }
+
     /// The part of all reqs that a plan says the fleet can do in time; none: no plan is in force. While
     /// nothing is strained, what is let in rises fast up to there. It cuts nothing; strain goes before it.
     pub fn plan_came(&mut self, now: Time, part: Option<f64>) {
@@ -393,6 +400,7 @@
             self.push();
         }
         self.bind_joined();
+        self.out.extend(self.channel.end_round(self.now).map(Ruling::Mark));
     }
 
     /// Reqs that came lose their say. Spans in which none came bring no line: rates by the lines' own spans
@@ -734,10 +742,8 @@
     /// One push: lost hosts first, then hazards, jams and ordinary differences, within one budget.
     fn push(&mut self) {
         let now = self.now;
-        let passed = (now - std::mem::replace(&mut self.waiting_at, now)).secs();
-        let rates = self.waiting.iter_mut().zip(&self.ready.channel);
-        rates.for_each(|(waiting, rate)| *waiting = (*waiting - passed * rate).max(0.0));
-        let (mut need, mut serves) = (vec![Need::Nothing; self.boards.len()], vec![0; self.boards.len()]);
+        self.channel.advance(now);
+        let (mut need, mut serves) = (vec![None; self.boards.len()], vec![0; self.boards.len()]);
         for host in &self.hosts {
             let (open, usable) = (self.ready.open(host, now), self.ready.usable(host, now));
             let cold = self.ready.ramp(host, now) < 1.0;
@@ -745,11 +751,11 @@
                 let heavy = place.sent > place.want * HAZARD;
                 // Not to be put off: a failing host, or a cold one whose line is still the warm one's.
                 let why = match place {
-                    p if p.held() && !open => Need::Drain,
-                    p if p.held() && !usable || cold && (heavy || p.unsure) => Need::Hazard,
-                    p if p.want > 0.0 && heavy || p.unsure => Need::Jam,
-                    p if off(p) => Need::Ordinary,
-                    _ => Need::Nothing,
+                    p if p.held() && !open => Some(UpdateReason::Drain),
+                    p if p.held() && !usable || cold && (heavy || p.unsure) => Some(UpdateReason::Hazard),
+                    p if p.want > 0.0 && heavy || p.unsure => Some(UpdateReason::Expedited),
+                    p if off(p) => Some(UpdateReason::Ordinary),
+                    _ => None,
                 };
                 need[place.table] = need[place.table].max(why);
                 serves[place.table] += usize::from(usable && place.sent > 0.0 && !place.unsure);
@@ -760,13 +766,13 @@
             let board = &mut self.boards[t];
             board.messages.retain(|&at| now - at <= self.ready.window);
             if board.levels_sent.iter().zip(&self.levels).any(|(sent, level)| *sent != Some(*level)) {
-                need[t] = need[t].max(Need::Ordinary);
+                need[t] = need[t].max(Some(UpdateReason::Ordinary));
             }
             // A table that has run empty is refilled as fast as a drain goes out.
-            if need[t] > Need::Nothing && serves[t] == 0 {
-                need[t] = Need::Drain;
+            if need[t].is_some() && serves[t] == 0 {
+                need[t] = Some(UpdateReason::Drain);
             }
-            board.differs_since = board.differs_since.or(Some(now)).filter(|_| need[t] > Need::Nothing);
+            board.differs_since = board.differs_since.or(Some(now)).filter(|_| need[t].is_some());
         }
         go.sort_by_key(|&t| (std::cmp::Reverse(need[t]), self.boards[t].differs_since));
         for t in go {
@@ -779,23 +785,32 @@
             let gathered = |least: Span| board.differs_since.is_some_and(|since| now - since >= least);
             let (used, cap) = (board.messages.len() + 1, self.ready.cap); // the bind was one too
             let under = |part: f64| (used as f64) < cap as f64 * part;
-            let [slow, stated] = self.waiting.map(|waiting| waiting / self.ready.most_waiting);
-            let due = match need[t] {
-                Need::Drain => used < cap,
-                Need::Hazard => used + DRAIN_RESERVE < cap && stated < ORDINARY_PART,
-                Need::Jam => gathered(HURRY) && under(JAM_PART) && stated < QUEUE_PART,
-                Need::Nothing => false,
-                Need::Ordinary => gathered(self.ready.gather) && under(ORDINARY_PART) && slow < QUEUE_PART,
+            let Some(reason) = need[t] else { continue };
+            let (slow, stated) = (self.channel.fill_at_slow_rate(), self.channel.fill_at_stated_rate());
+            let due = match reason {
+                UpdateReason::Drain => used < cap,
+                UpdateReason::Hazard => used + DRAIN_RESERVE < cap,
+                UpdateReason::Expedited => gathered(HURRY) && under(JAM_PART),
+                UpdateReason::Ordinary => gathered(self.ready.gather) && under(ORDINARY_PART),
+            };
+            let room = match reason {
+                UpdateReason::Drain => true,
+                UpdateReason::Hazard => stated < ORDINARY_PART,
+                UpdateReason::Expedited => stated < QUEUE_PART,
+                UpdateReason::Ordinary => slow < QUEUE_PART,
             };
-            if due {
-                self.send_table(t, serves[t] > 0 && stated >= QUEUE_PART, serves[t] < TABLE_LEAST);
+            if due && !room {
+                self.channel.hold_back(reason);
+            } else if due {
+                let risks = serves[t] > 0 && stated >= QUEUE_PART;
+                self.send_table(t, reason, risks, serves[t] < TABLE_LEAST);
             }
         }
     }
 
     /// The differences of one table, to all who use it; or only those that put a host at risk, who comes into
     /// a short table among them: all that its proxies bring fell to the few left, and pushed cold ones over.
-    fn send_table(&mut self, t: usize, risks: bool, short: bool) {
+    fn send_table(&mut self, t: usize, reason: UpdateReason, risks: bool, short: bool) {
         let (now, table, mut lines) = (self.now, TableId(t as u16), 0.0);
         for host in &mut self.hosts {
             let risk = |p: &Place| p.unsure || p.sent > p.want * HAZARD || short && p.sent == 0.0;
@@ -819,8 +834,7 @@
             lines += 1.0;
         }
         board.differs_since = None;
-        let waits = (lines + self.ready.head) * board.bound as f64;
-        self.waiting.iter_mut().for_each(|waiting| *waiting += waits);
+        self.channel.send_update(reason, lines, board.bound);
         // Where proxies hold two tables, a message on either counts for both.
         let also = if self.ready.own_tables > 0 { 0..self.boards.len() } else { t..t + 1 };
         self.boards[also].iter_mut().for_each(|board| board.messages.push_back(now));
@@ -849,7 +863,7 @@
                 }
                 // What nobody held may be old.
                 if self.boards[t].bound == 0 {
-                    self.send_table(t, false, false);
+                    self.send_table(t, UpdateReason::Ordinary, false, false);
                     self.boards[t].messages.clear();
                 }
                 self.boards[t].bound += 1;
@@ -861,7 +875,7 @@
                 self.out.push_back(Ruling::Bind { proxy: id, table: TableId(table as u16), kinds });
             }
             let lines = self.hosts.iter().filter(|h| h.holds(table)).count() + self.levels.len() + 1;
-            self.waiting.iter_mut().for_each(|waiting| *waiting += self.ready.head + lines as f64);
+            self.channel.send_binding(lines as f64);
         }
         again.into_iter().for_each(|t| self.boards[t].messages.push_back(self.now));
     }
--- a/src/decide/glance.rs
+++ b/src/decide/glance.rs
@@ -26,6 +26,7 @@
             lag: Span::from_micros((self.lag * 1e6) as u64),
             demand: self.demand(),
             flow: self.flow(self.hosts.iter()),
+            channel: self.channel.report(),
         }
     }
 }
--- a/src/types.rs
+++ b/src/types.rs
@@ -91,7 +91,7 @@
         pub struct $name(pub $inner);
     )*};
 }
-id!(ProxyId(u16), TableId(u16), ZoneId(u16), MachineId(u16), CellId(u64), KindId(u8));
+id!(ProxyId(u16), TableId(u16), ZoneId(u16), MachineId(u16), CellId(u64), KindId(u8), MarkId(u16));
 
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct HostId(pub Arc<str>);
@@ -118,6 +118,8 @@
     pub cold: Span,
     pub gone_is_no_drain: bool,
     pub crossing_price: f64,
+    /// Whether proxies say when they have applied a marked message.
+    pub marks: bool,
     /// Orders that the surroundings can carry out together; 0: any number.
     pub orders_together: u64,
 }
@@ -206,6 +208,8 @@
         quota: f64,
         tries: Tries,
     },
+    /// Each message that these orders make carries a mark, which its proxy answers once it has applied the message.
+    Mark(MarkId),
     Probe(HostId),
     FollowList,
     WakeIn(Span),
@@ -239,6 +243,36 @@
     pub lag: Span,
     pub demand: f64,
     pub flow: (f64, f64),
+    pub channel: ChannelReport,
+}
+
+/// Lines, or updates, by why they were sent.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LineCounts {
+    pub bindings: f64,
+    pub drains: f64,
+    pub hazards: f64,
+    pub expedited: f64,
+    pub ordinary: f64,
+    pub marks: f64,
+}
+
+/// What is known of the channel to the proxies. All figures but the last three are in lines.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ChannelReport {
+    pub line_limit: f64,
+    /// What waits if the channel sends as stated, and if it sends many times slower.
+    pub waiting_at_stated_rate: f64,
+    pub waiting_at_slow_rate: f64,
+    /// Sent, and not yet known to have left the channel; none: proxies answer no marks.
+    pub unconfirmed: Option<f64>,
+    /// Sent since the start, by reason, with all overhead.
+    pub sent_for: LineCounts,
+    /// Updates that were due but for the room in the queue, once for each time that they were looked at.
+    pub held_back_for: LineCounts,
+    pub marks_answered: u64,
+    /// From sending a marked message until it was known to be applied, the last time.
+    pub last_delay: Span,
 }
 
 // What a steward keeps: records, and how to find things in them.
@@ -254,10 +288,6 @@
     pub(crate) own_tables: usize,
     pub(crate) targets: Vec<f64>,
     pub(crate) by_rate: bool,
-    /// Lines a second that go out in a slow spell, and as stated.
-    pub(crate) channel: [f64; 2],
-    pub(crate) most_waiting: f64,
-    pub(crate) head: f64,
     pub(crate) cap: usize,
     pub(crate) window: Span,
     pub(crate) gather: Span,
@@ -328,16 +358,6 @@
     pub(crate) levels_sent: Vec<Option<f64>>,
 }
 
-/// Why a table's differences should be sent, the least pressing first.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Need {
-    Nothing,
-    Ordinary,
-    Jam,
-    Hazard,
-    Drain,
-}
-
 /// The hosts of a table by their places among all, each with the part of its weight that this table has of it.
 pub(crate) type Table = Vec<(usize, f64)>;
 
@@ -366,9 +386,6 @@
             free: of_zone(false),
             targets: kinds.iter().map(|k| k.response_target.secs()).collect(),
             by_rate: ticket.admission == Admission::Rate,
-            // None stated: none is too many.
-            most_waiting: if ticket.most_waiting > 0.0 { ticket.most_waiting } else { f64::INFINITY },
-            head: ticket.lines_per_message,
             cap: or_any(ticket.message_cap),
             round_most: or_any(ticket.orders_together),
             window: ticket.message_window,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,7 +3,7 @@
 
 use pondarch::Steward;
 use pondarch::types::*;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 pub const SECOND: u64 = 1_000_000;
 /// Less than the shortest grace of any site less the longest way of a message.
@@ -47,6 +47,7 @@
         start_capacity: 0.2,
         cold: ms(18_000),
         crossing_price: 0.06,
+        marks: true,
         ..JobTicket::default()
     }
 }
@@ -76,13 +77,33 @@
 }
 
 /// Lines on their way to proxies, by the ticket's figures.
-#[derive(Clone, Copy, Default)]
+#[derive(Default)]
 struct Channel {
     rate: f64,
     head: f64,
     most: f64,
     waiting: f64,
     most_seen: f64,
+    sent: f64,
+    /// Marked messages, each with the lines that are sent once it is.
+    marked: VecDeque<(f64, MarkId)>,
+}
+
+impl Channel {
+    fn send(&mut self, lines: f64, mark: Option<MarkId>) {
+        self.waiting += lines;
+        self.marked.extend(mark.map(|mark| (self.sent + self.waiting, mark)));
+        self.most_seen = self.most_seen.max(self.waiting);
+    }
+
+    /// Goes on for so long; gives the marks of the messages that went out.
+    fn run(&mut self, seconds: f64) -> Vec<MarkId> {
+        let sent = (self.rate * seconds).min(self.waiting);
+        self.waiting -= sent;
+        self.sent += sent;
+        let out = self.marked.iter().take_while(|(lines, _)| *lines <= self.sent + 1e-6).count();
+        self.marked.drain(..out).map(|(_, mark)| mark).collect()
+    }
 }
 
 impl Shop {
@@ -159,7 +180,9 @@
         let end = self.now + millis * 1_000;
         while self.now < end {
             self.now += 50_000;
-            self.channel.waiting = (self.channel.waiting - self.channel.rate * 0.05).max(0.0);
+            for mark in self.channel.run(0.05) {
+                self.steward.mark_applied(self.time(), mark);
+            }
             if self.now.is_multiple_of(SECOND) {
                 sums(self);
             }
@@ -173,6 +196,7 @@
 
     fn pull(&mut self) {
         let mut told: BTreeMap<ProxyId, usize> = BTreeMap::new();
+        let mut round_mark = None;
         let mut line =
             |proxies: Vec<ProxyId>| proxies.into_iter().for_each(|id| *told.entry(id).or_default() += 1);
         while let Some(ruling) = self.steward.next(self.time()) {
@@ -204,6 +228,7 @@
                     assert!(quota.is_finite() && quota >= 0.0, "a level of {quota}");
                     self.levels.insert((table, kind), (quota, tries));
                 }
+                Ruling::Mark(mark) => round_mark = Some(mark),
                 Ruling::Probe(host) => self.probes.push(host),
                 Ruling::FollowList => self.asked += 1,
                 Ruling::WakeIn(span) => self.wake = Some(self.now + span.as_micros()),
@@ -211,9 +236,9 @@
         }
         for (proxy, lines) in told {
             self.proxies.get_mut(&proxy).expect("joined").messages.push(self.now);
-            self.channel.waiting += lines as f64 + self.channel.head;
+            let marks = f64::from(u8::from(round_mark.is_some()));
+            self.channel.send(lines as f64 + marks + self.channel.head, round_mark);
         }
-        self.channel.most_seen = self.channel.most_seen.max(self.channel.waiting);
     }
 
     fn used(&self) -> BTreeSet<TableId> {
