--- /dev/null
+++ b/crates/cli/tests/platform/channel.rs
@@ -0,0 +1,150 @@
+//! The channel to the proxies is slower than the settings state, or stands still: no more lines may wait in it than the
+//! settings allow, drains still go out, and once it is sound again all that was held back goes out too.
+
+use crate::channel_relay::{ChannelRelay, MESSAGE_OVERHEAD};
+use crate::stage::*;
+use serde_json::{Value, json};
+use std::io::Write;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const PROXIES: u16 = 200;
+const HOSTS: usize = 160;
+/// Lines a second that the settings state.
+const STATED_RATE: f64 = 2_000.0;
+/// Lines that may wait: twice what all proxies take at their start.
+const LINE_LIMIT: f64 = 4_000.0;
+/// The host that drains at the end.
+const DRAINED: usize = 7;
+const DRAIN_AFTER: Duration = Duration::from_secs(14);
+
+fn config(listen: SocketAddr, discovery: SocketAddr, relay: SocketAddr) -> String {
+    json!({
+        "name": "n0", "listen": listen, "discovery": discovery, "seed": "1f",
+        "limits": {"sockets": 128}, "hub": {"address": relay},
+        "known": serde_json::from_str::<Value>(&list_of(1, &ready_hosts())).expect("a list"),
+        "settings": {
+            "classes": [{"name": "proof", "aim": 1_500_000, "worth": 1.0}], "localities": ["a"],
+            "familyInfo": {"proxies": PROXIES, "channelRate": STATED_RATE, "mostWaiting": LINE_LIMIT,
+                "perMessage": MESSAGE_OVERHEAD, "updateCap": 12, "updateWindow": 10_000_000,
+                "reportEvery": 500_000, "admission": "share", "baseMode": 0},
+            "obligations": {"cold": 18_000_000, "startCapacity": 0.2},
+        },
+    })
+    .to_string()
+}
+
+fn ready_hosts() -> Vec<String> {
+    (0..HOSTS).map(|n| host(1, n, "Ready")).collect()
+}
+
+/// Lists all hosts, and one of them as draining after a while.
+fn discovery_with_a_drain() -> (SocketAddr, Lines) {
+    watched_discovery(
+        1,
+        Some(|_, line| {
+            line(&list_of(2, &ready_hosts()))?;
+            for _ in 0..DRAIN_AFTER.as_secs() {
+                thread::sleep(Duration::from_secs(1));
+                line("")?;
+            }
+            let drained = list_of(3, &[host(1, DRAINED, "Terminating")]);
+            line(&drained.replace("\"reset\":true", "\"reset\":false"))?;
+            for _ in 0..30 {
+                thread::sleep(Duration::from_secs(1));
+                line("")?;
+            }
+            Some(())
+        }),
+    )
+}
+
+/// Tells of tries at all hosts that proxies hold, and of the proxies' requests, twice a second. A fifth of the hosts fails
+/// all its tries and an eighth of the proxies has most of the requests, others every two seconds, so that weights have to
+/// change all the time.
+fn collect_until(over: &AtomicBool, steward: &Steward, relay: &ChannelRelay) {
+    let mut stream = steward.dial();
+    stream.write_all(&message("collector site a")).expect("written");
+    let mut round = 0;
+    while !over.load(Relaxed) {
+        for n in 0..HOSTS {
+            let id = format!("s-1-{n}");
+            let fails = (n + round / 4).is_multiple_of(5);
+            if relay.holders(&id) > 0 {
+                let (fail, mean) = if fails { (6, 0) } else { (0, 40 + 15 * (n % 3)) };
+                let report = format!("heard site a target {id} count 6 fail {fail} mean {mean} over 500");
+                stream.write_all(&message(&report)).expect("written");
+            }
+        }
+        for n in 0..usize::from(PROXIES) {
+            let count = if (n + round / 4).is_multiple_of(8) { 20 } else { 1 };
+            let usage = format!("usage id {n} lane proof count {count} fail 0 over 500");
+            stream.write_all(&message(&usage)).expect("written");
+        }
+        round += 1;
+        thread::sleep(Duration::from_millis(500));
+    }
+}
+
+/// What a steward made of a channel whose rate changed.
+struct Outcome {
+    most_waiting: f64,
+    /// Tables that hold the drained host, 1.5 s after its drain was listed.
+    tables_with_drained: usize,
+    idle_for: Duration,
+    log: String,
+}
+
+/// The channel is as stated at first; each rate holds from that many seconds after the start.
+fn play(rates: &[(u64, f64)]) -> Outcome {
+    let relay = ChannelRelay::start(STATED_RATE, PROXIES);
+    let (discovery, _asked) = discovery_with_a_drain();
+    let steward = Steward::start_configured(|listen| config(listen, discovery, relay.at));
+    let begun = Instant::now();
+    let wait_until = |at: Duration| thread::sleep(at.saturating_sub(begun.elapsed()));
+    let over = AtomicBool::new(false);
+    thread::scope(|scope| {
+        scope.spawn(|| collect_until(&over, &steward, &relay));
+        for (from, rate) in rates {
+            wait_until(Duration::from_secs(*from));
+            relay.set_rate(*rate);
+        }
+        wait_until(DRAIN_AFTER + Duration::from_millis(1_500));
+        let tables_with_drained = relay.tables_with(&format!("s-1-{DRAINED}"));
+        wait_until(DRAIN_AFTER + Duration::from_secs(4));
+        over.store(true, Relaxed);
+        assert_eq!(relay.bound(), usize::from(PROXIES));
+        let idle_for = relay.idle_for().expect("calls came");
+        Outcome { most_waiting: relay.most_waiting(), tables_with_drained, idle_for, log: steward.log() }
+    })
+}
+
+fn assert_kept(outcome: &Outcome) {
+    let Outcome { most_waiting, tables_with_drained, log, .. } = outcome;
+    let seen = log.lines().filter(|line| line.contains(" channel ")).collect::<Vec<_>>().join("\n");
+    println!("{most_waiting:.0} of {LINE_LIMIT} lines waited at most\n{seen}");
+    assert!(*most_waiting <= LINE_LIMIT, "{most_waiting:.0} lines waited, {LINE_LIMIT} may");
+    assert_eq!(*tables_with_drained, 0, "a drain waited behind the queue");
+}
+
+#[test]
+fn a_channel_as_stated_keeps_its_queue_short() {
+    assert_kept(&play(&[]));
+}
+
+/// Issue 28: the queue was counted by the stated rate alone, and grew past its limit.
+#[test]
+fn a_slow_channel_keeps_its_queue_short() {
+    let slow = [4.0, 8.0, 20.0].map(|times| thread::spawn(move || play(&[(3, STATED_RATE / times)])));
+    slow.into_iter().for_each(|played| assert_kept(&played.join().expect("no panic")));
+}
+
+/// The same, and updates go on once the channel does.
+#[test]
+fn a_channel_that_stands_still_for_a_while_keeps_its_queue_short() {
+    let outcome = play(&[(3, 0.0), (9, STATED_RATE)]);
+    assert_kept(&outcome);
+    assert!(outcome.idle_for < Duration::from_secs(2), "no call for {:?}", outcome.idle_for);
+}
--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -2,8 +2,11 @@
 //!
 //! - `stage`: the process, and parties that follow a script by themselves.
 //! - `party`: a party that does what the test says, so that events cross as it wants.
+//! - `channel_relay`: a relay whose channel to the proxies sends at a limited rate.
 //! - the rest: one file a way in and out.
 
+mod channel;
+mod channel_relay;
 mod clients;
 mod ends;
 mod lists;
--- a/crates/cli/tests/platform/stage.rs
+++ b/crates/cli/tests/platform/stage.rs
@@ -182,6 +182,15 @@
         relay: SocketAddr,
         so: impl FnOnce(Command) -> Command,
     ) -> Steward {
+        Steward::start_as(|listen| config(listen, discovery, relay), so)
+    }
+
+    /// With a configuration of its own, made for the address at which it is to listen.
+    pub fn start_configured(config: impl FnOnce(SocketAddr) -> String) -> Steward {
+        Steward::start_as(config, |command| command)
+    }
+
+    fn start_as(config: impl FnOnce(SocketAddr) -> String, so: impl FnOnce(Command) -> Command) -> Steward {
         let folder = tempfile::tempdir().expect("a folder");
         let path = folder.path().join("config.json");
         // An address of its own: a port that was merely free a moment ago may be some other connection's by now.
@@ -189,7 +198,7 @@
         let (n, id) = (STARTED.fetch_add(1, Relaxed), std::process::id());
         let listen =
             SocketAddr::from(([127, 1 + (id % 250) as u8, (n / 250) as u8, 1 + (n % 250) as u8], 7070));
-        std::fs::write(&path, config(listen, discovery, relay)).expect("written");
+        std::fs::write(&path, config(listen)).expect("written");
         let mut command = so(platform(Some(&path)));
         let log = std::fs::File::create(folder.path().join("log")).expect("a log");
         let child = command.stderr(log).spawn().expect("the program");
