The channel's queue counts what proxies have not confirmed, not what a stated rate sends

Class: open-loop control, feedback at hand and unused.

Now lines wait until a mark is answered; every update and binding asks for room, each reason up to its part of the limit; orders surely not taken are taken off; after a wait without answers, doubling from 1 to 30 s, one update goes out all the same.

Ruled out: ordinary updates up to half of the limit leave a table with two hosts in a release (test).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -37,14 +37,9 @@
 const GATHER: Span = Span::from_millis(1_000);
 const HURRY: Span = Span::from_millis(200);
 /// Parts of the message cap for ordinary and hurried pushes; messages for drains alone: no drain may wait.
-/// The first is also the part of the queue, at the channel's stated rate, from which only drains go out.
 const ORDINARY_PART: f64 = 0.75;
 const JAM_PART: f64 = 0.8;
 const DRAIN_RESERVE: usize = 2;
-/// Part of the lines that may wait which ordinary differences fill while the channel is this many times
-/// slower than stated (slow spells happen), and hurried ones as stated: all proxies may come to one steward.
-const QUEUE_PART: f64 = 0.5;
-const SLOW_CHANNEL: f64 = 8.0;
 /// Part by which a weight is off before it is sent (less is not noticed); multiple of its due: a hazard.
 const LINE_STEP: f64 = 0.1;
 const HAZARD: f64 = 1.5;
@@ -155,7 +150,9 @@
         let told = (ticket.base_tries == Some(Tries::AgainIfNeverRun)).then_some(1.0);
         let (kinds, proxies, must_ask) = (ticket.kinds.len(), ticket.proxies, ticket.must_ask);
         let ask_within = ticket.ask_within;
-        let channel = Channel::new(&ticket);
+        let mut chance = fastrand::Rng::with_seed(seed);
+        // A steward that starts anew is not to take answers to its former marks for its own.
+        let channel = Channel::new(&ticket, now, MarkId(chance.u16(..)));
         let mut ready = Makeready::from_ticket(ticket);
         ready.shared_tables = (proxies.saturating_sub(1) / PROXIES_PER_TABLE).max(1) as usize;
         ready.gather = GATHER.max(ready.window.times(1.0 / (ready.cap as f64 * ORDINARY_PART).max(1.0)));
@@ -163,7 +160,7 @@
         ready.ask_again = must_ask.then(|| ask_within.times(ASK_PART).max(GATHER));
         let board = Board { levels_sent: vec![told; kinds], ..Board::default() };
         Steward {
-            chance: fastrand::Rng::with_seed(seed),
+            chance,
             channel,
             levels: vec![1.0; kinds],
             boards: vec![board; ready.all_tables()],
@@ -264,6 +261,7 @@
     /// if some went through, else with the next beat, lest orders that nobody takes run in circles.
     pub fn carried_out(&mut self, now: Time, orders: &[Ruling], outcome: Outcome) {
         self.now = now;
+        self.channel.orders_ended(orders.len(), outcome);
         let (stood, refused) = match outcome {
             Outcome::Taken => (orders.len(), None),
             Outcome::Stopped(stood) => (stood.min(orders.len()), orders.get(stood)),
@@ -376,6 +374,7 @@
 
     /// Joins and lost hosts are answered at once, all else at the next beat: a large fleet brings much news.
     fn decide(&mut self) {
+        let orders_before = self.out.len();
         if self.follow_at.take_if(|at| self.now >= *at).is_some() {
             self.out.push_back(Ruling::FollowList);
         }
@@ -400,7 +399,16 @@
             self.push();
         }
         self.bind_joined();
-        self.out.extend(self.channel.end_round(self.now).map(Ruling::Mark));
+        self.end_round(orders_before);
+    }
+
+    /// What was ordered since then goes out together.
+    fn end_round(&mut self, orders_before: usize) {
+        let is_order = |ruling: &&Ruling| {
+            matches!(ruling, Ruling::Deal { .. } | Ruling::Bind { .. } | Ruling::Level { .. })
+        };
+        let orders = self.out.iter().skip(orders_before).filter(is_order).count();
+        self.out.extend(self.channel.end_round(self.now, orders).map(Ruling::Mark));
     }
 
     /// Reqs that came lose their say. Spans in which none came bring no line: rates by the lines' own spans
@@ -786,44 +794,49 @@
             let (used, cap) = (board.messages.len() + 1, self.ready.cap); // the bind was one too
             let under = |part: f64| (used as f64) < cap as f64 * part;
             let Some(reason) = need[t] else { continue };
-            let (slow, stated) = (self.channel.fill_at_slow_rate(), self.channel.fill_at_stated_rate());
             let due = match reason {
                 UpdateReason::Drain => used < cap,
                 UpdateReason::Hazard => used + DRAIN_RESERVE < cap,
                 UpdateReason::Expedited => gathered(HURRY) && under(JAM_PART),
                 UpdateReason::Ordinary => gathered(self.ready.gather) && under(ORDINARY_PART),
             };
-            let room = match reason {
-                UpdateReason::Drain => true,
-                UpdateReason::Hazard => stated < ORDINARY_PART,
-                UpdateReason::Expedited => stated < QUEUE_PART,
-                UpdateReason::Ordinary => slow < QUEUE_PART,
+            if !due {
+                continue;
+            }
+            let scope = match () {
+                () if serves[t] == 0 || !self.channel.is_half_full() => UpdateScope::All,
+                () if serves[t] < TABLE_LEAST => UpdateScope::RisksAndNewcomers,
+                () => UpdateScope::Risks,
             };
-            if due && !room {
-                self.channel.hold_back(reason);
-            } else if due {
-                let risks = serves[t] > 0 && stated >= QUEUE_PART;
-                self.send_table(t, reason, risks, serves[t] < TABLE_LEAST);
+            let (lines, bound) = (self.lines_due(t, scope), self.boards[t].bound);
+            if self.channel.admits_update(now, reason, lines, bound) {
+                self.send_table(t, reason, scope);
             }
         }
     }
 
-    /// The differences of one table, to all who use it; or only those that put a host at risk, who comes into
-    /// a short table among them: all that its proxies bring fell to the few left, and pushed cold ones over.
-    fn send_table(&mut self, t: usize, reason: UpdateReason, risks: bool, short: bool) {
-        let (now, table, mut lines) = (self.now, TableId(t as u16), 0.0);
+    /// How many lines an update of a table has for each proxy that uses it.
+    fn lines_due(&self, t: usize, scope: UpdateScope) -> usize {
+        let places = self.hosts.iter().flat_map(|host| &host.places);
+        let hosts = places.filter(|place| place.table == t && scope.takes(place)).count();
+        let sent = &self.boards[t].levels_sent;
+        let levels = sent.iter().zip(&self.levels).filter(|(sent, level)| **sent != Some(**level)).count();
+        hosts + if scope == UpdateScope::All { levels } else { 0 }
+    }
+
+    /// The differences of one table that are in scope, to all who use it.
+    fn send_table(&mut self, t: usize, reason: UpdateReason, scope: UpdateScope) {
+        let (now, table, lines) = (self.now, TableId(t as u16), self.lines_due(t, scope));
         for host in &mut self.hosts {
-            let risk = |p: &Place| p.unsure || p.sent > p.want * HAZARD || short && p.sent == 0.0;
-            for place in host.places.iter_mut().filter(|p| p.table == t && off(p) && (!risks || risk(p))) {
+            for place in host.places.iter_mut().filter(|place| place.table == t && scope.takes(place)) {
                 (place.sent, place.unsure) = (place.want, false);
-                lines += 1.0;
                 let weight = (place.want > 0.0).then_some(place.want);
                 self.out.push_back(Ruling::Deal { table, host: host.id.clone(), weight });
             }
         }
         let board = &mut self.boards[t];
-        for (k, &share) in self.levels.iter().enumerate() {
-            if risks || board.levels_sent[k].replace(share) == Some(share) {
+        for (k, &share) in self.levels.iter().enumerate().filter(|_| scope == UpdateScope::All) {
+            if board.levels_sent[k].replace(share) == Some(share) {
                 continue;
             }
             // Where proxies count reqs a second, the busiest proxy sets the measure.
@@ -831,7 +844,6 @@
             let measure = if share < 1.0 { busiest } else { f64::from(u32::MAX) };
             let (kind, quota) = (KindId(k as u8), if self.ready.by_rate { share * measure } else { share });
             self.out.push_back(Ruling::Level { table, kind, quota, tries: Tries::AgainIfNeverRun });
-            lines += 1.0;
         }
         board.differs_since = None;
         self.channel.send_update(reason, lines, board.bound);
@@ -840,6 +852,11 @@
         self.boards[also].iter_mut().for_each(|board| board.messages.push_back(now));
     }
 
+    /// Lines that a proxy is sent when it is bound to a table.
+    fn binding_lines(&self, table: usize) -> usize {
+        self.hosts.iter().filter(|host| host.holds(table)).count() + self.levels.len() + 1
+    }
+
     /// A joined proxy is answered at once: its standing table may name hosts that are gone or cold.
     fn bind_joined(&mut self) {
         let due = |p: &Proxy| (p.table.is_none() || p.unsure) && self.now >= p.bind_from;
@@ -854,6 +871,18 @@
             }
             let (bound_to, zone) = (self.proxies[&id].table, self.proxies[&id].zone);
             let table = bound_to.unwrap_or_else(|| self.choose_table(id));
+            for t in self.ready.tables_of(table, zone) {
+                // What nobody held may be old.
+                if self.boards[t].bound == 0 {
+                    self.send_table(t, UpdateReason::Ordinary, UpdateScope::All);
+                    self.boards[t].messages.clear();
+                }
+            }
+            let lines = self.binding_lines(table);
+            if !self.channel.admits_binding(self.now, lines) {
+                break;
+            }
+            self.channel.send_binding(lines);
             self.proxies.entry(id).and_modify(|p| (p.table, p.unsure) = (Some(table), false));
             for t in self.ready.tables_of(table, zone) {
                 if bound_to.is_some() {
@@ -861,11 +890,6 @@
                     again.insert(t);
                     continue;
                 }
-                // What nobody held may be old.
-                if self.boards[t].bound == 0 {
-                    self.send_table(t, UpdateReason::Ordinary, false, false);
-                    self.boards[t].messages.clear();
-                }
                 self.boards[t].bound += 1;
             }
             let own = self.ready.own_table(zone).unwrap_or(table);
@@ -874,8 +898,6 @@
                 let kinds = if self.ready.own_tables == 0 { Vec::new() } else { kinds.clone() };
                 self.out.push_back(Ruling::Bind { proxy: id, table: TableId(table as u16), kinds });
             }
-            let lines = self.hosts.iter().filter(|h| h.holds(table)).count() + self.levels.len() + 1;
-            self.channel.send_binding(lines as f64);
         }
         again.into_iter().for_each(|t| self.boards[t].messages.push_back(self.now));
     }
@@ -917,6 +939,24 @@
     }
 }
 
+/// Which differences of a table an update takes along.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum UpdateScope {
+    All,
+    /// Those alone that put a host at risk: the rest waits for room in the queue.
+    Risks,
+    /// And who comes into a short table: all that its proxies bring fell to the few left, and pushed cold ones over.
+    RisksAndNewcomers,
+}
+
+impl UpdateScope {
+    fn takes(self, place: &Place) -> bool {
+        let risk = place.unsure || place.sent > place.want * HAZARD;
+        let newcomer = self == UpdateScope::RisksAndNewcomers && place.sent == 0.0;
+        off(place) && (self == UpdateScope::All || risk || newcomer)
+    }
+}
+
 fn off(place: &Place) -> bool {
     let step = (place.want - place.sent).abs() > LINE_STEP * place.sent;
     place.unsure || step || (place.want > 0.0) != (place.sent > 0.0)
--- a/src/decide/channel.rs
+++ b/src/decide/channel.rs
@@ -1,18 +1,32 @@
 //! The channel from a steward to its proxies: a first-in, first-out queue of lines. Each proxy that an update concerns is
 //! sent one message, which counts its lines and some overhead.
 //!
-//! This module counts the lines that may still wait, by two models of the rate at which the channel sends, and
-//! measures the channel itself: some messages carry a mark, and a proxy that has applied a marked message says so, which
-//! confirms all lines sent before it.
+//! The channel may send far more slowly than stated, or not at all, so its queue is not counted by the stated rate: some
+//! messages carry a mark, a proxy that has applied a marked message says so, and that confirms all lines sent before it.
+//! What is not confirmed counts as waiting, and no update goes out that would take that over the limit. Where proxies
+//! answer no marks, two models of the rate stand in: the stated one, and a slow one for what can wait.
 
-use super::SLOW_CHANNEL;
-use crate::types::{ChannelReport, JobTicket, LineCounts, MarkId, Span, Time};
+use crate::types::{ChannelReport, JobTicket, LineCounts, MarkId, Outcome, Span, Time};
 use std::collections::VecDeque;
 
-/// Least time between two marked rounds: a mark costs one line for each message of its round.
+/// Times that a channel in a slow spell is slower than stated, where nothing can be measured.
+const SLOW_CHANNEL: f64 = 8.0;
+/// Time after which a round is marked, and part of the limit that may be sent without a mark: a mark costs one line for
+/// each message of its round, and what is sent after the last mark stays unconfirmed.
 const MARK_INTERVAL: Span = Span::from_millis(500);
+const UNMARKED_PART: f64 = 0.05;
 /// Marks that are remembered; older ones without an answer are given up.
 const MAX_OPEN_MARKS: usize = 64;
+/// Parts of the limit up to which each update may fill the queue. Ordinary and expedited ones can wait. The rest is left to
+/// drains and bindings: the limit holds what cannot wait twice over, with all proxies at one steward.
+const ORDINARY_PART: f64 = 0.25;
+const EXPEDITED_PART: f64 = 0.5;
+const HAZARD_PART: f64 = 0.75;
+const URGENT_PART: f64 = 0.95;
+/// Without any answer for this long, one update goes out however full the queue seems, as answers may have been lost with
+/// their proxies or with the news; the wait doubles up to its maximum until an answer comes.
+const PROBE_WAIT: Span = Span::from_millis(1_000);
+const MAX_PROBE_WAIT: Span = Span::from_millis(30_000);
 
 /// Why an update of a table is sent, the least pressing first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -31,9 +45,9 @@
 struct OpenMark {
     id: MarkId,
     sent_at: Time,
-    /// Lines sent before this round, in all.
+    /// Lines sent before this round, in all, and once it is sent.
     lines_before: f64,
-    lines: f64,
+    lines_after: f64,
     messages: f64,
     answers: f64,
 }
@@ -65,18 +79,29 @@
     open_marks: VecDeque<OpenMark>,
     next_mark: MarkId,
     marked_at: Option<Time>,
+    /// Lines sent when a round was marked last.
+    marked_up_to: f64,
+    /// Lines and orders of which it is not yet known whether they were taken.
+    undecided_lines: f64,
+    undecided_orders: usize,
+    /// The last answer, or the last update that went out for want of one.
+    quiet_since: Time,
+    probe_wait: Span,
     answered: u64,
     last_delay: Span,
 }
 
 impl Channel {
     /// A limit of zero means that none is stated.
-    pub(crate) fn new(ticket: &JobTicket) -> Channel {
+    pub(crate) fn new(ticket: &JobTicket, now: Time, first_mark: MarkId) -> Channel {
         Channel {
             stated_rate: ticket.channel_rate.max(1.0),
             line_limit: if ticket.most_waiting > 0.0 { ticket.most_waiting } else { f64::INFINITY },
             message_overhead: ticket.lines_per_message,
             can_mark: ticket.marks,
+            next_mark: first_mark,
+            quiet_since: now,
+            probe_wait: PROBE_WAIT,
             ..Channel::default()
         }
     }
@@ -90,35 +115,85 @@
         self.waiting_at_slow_rate = send(self.waiting_at_slow_rate, self.stated_rate / SLOW_CHANNEL);
     }
 
-    /// The part of the limit that waits if the channel sends as stated.
-    pub(crate) fn fill_at_stated_rate(&self) -> f64 {
-        self.waiting_at_stated_rate / self.line_limit
+    /// Lines that may still wait.
+    fn waiting(&self) -> f64 {
+        if self.can_mark { self.sent - self.confirmed } else { self.waiting_at_stated_rate }
+    }
+
+    /// Whether what can wait has to: nothing but risks goes out.
+    pub(crate) fn is_half_full(&self) -> bool {
+        self.waiting() >= self.line_limit * EXPEDITED_PART
     }
 
-    /// The part of the limit that waits if the channel is in a slow spell.
-    pub(crate) fn fill_at_slow_rate(&self) -> f64 {
-        self.waiting_at_slow_rate / self.line_limit
+    /// Whether the queue has room for an update.
+    pub(crate) fn admits_update(
+        &mut self,
+        now: Time,
+        reason: UpdateReason,
+        lines: usize,
+        messages: usize,
+    ) -> bool {
+        let lines = self.with_overhead(lines as f64, messages as f64);
+        let fits = match reason {
+            UpdateReason::Ordinary if !self.can_mark => {
+                self.waiting_at_slow_rate < self.line_limit * ORDINARY_PART
+            }
+            UpdateReason::Ordinary => self.has_room(lines, ORDINARY_PART),
+            UpdateReason::Expedited => self.has_room(lines, EXPEDITED_PART),
+            UpdateReason::Hazard => self.has_room(lines, HAZARD_PART),
+            UpdateReason::Drain => self.has_room(lines, URGENT_PART),
+        };
+        let admitted = fits || self.takes_probe(now);
+        if !admitted {
+            *count_of(&mut self.held_back_for, reason) += 1.0;
+        }
+        admitted
+    }
+
+    /// Whether the queue has room to send one proxy its whole table.
+    pub(crate) fn admits_binding(&mut self, now: Time, lines: usize) -> bool {
+        let lines = self.with_overhead(lines as f64, 1.0);
+        let admitted = self.has_room(lines, URGENT_PART) || self.takes_probe(now);
+        if !admitted {
+            self.held_back_for.bindings += 1.0;
+        }
+        admitted
+    }
+
+    /// An update larger than that part of the limit goes out once nothing waits.
+    fn has_room(&self, lines: f64, part: f64) -> bool {
+        let waiting = self.waiting();
+        waiting + lines <= self.line_limit * part || waiting < 1.0
+    }
+
+    fn takes_probe(&mut self, now: Time) -> bool {
+        if !self.can_mark || now - self.quiet_since < self.probe_wait {
+            return false;
+        }
+        self.quiet_since = now;
+        self.probe_wait = (self.probe_wait + self.probe_wait).min(MAX_PROBE_WAIT);
+        self.marked_at = None;
+        true
     }
 
     /// An update of `lines` lines goes to each of `messages` proxies.
-    pub(crate) fn send_update(&mut self, reason: UpdateReason, lines: f64, messages: usize) {
-        let lines = self.send(lines, messages as f64);
+    pub(crate) fn send_update(&mut self, reason: UpdateReason, lines: usize, messages: usize) {
+        let lines = self.send(lines as f64, messages as f64);
         *count_of(&mut self.sent_for, reason) += lines;
     }
 
     /// A proxy is sent its whole table.
-    pub(crate) fn send_binding(&mut self, lines: f64) {
-        self.sent_for.bindings += self.send(lines, 1.0);
+    pub(crate) fn send_binding(&mut self, lines: usize) {
+        self.sent_for.bindings += self.send(lines as f64, 1.0);
     }
 
-    /// An update was due but for the room that the queue leaves.
-    pub(crate) fn hold_back(&mut self, reason: UpdateReason) {
-        *count_of(&mut self.held_back_for, reason) += 1.0;
+    fn with_overhead(&self, lines: f64, messages: f64) -> f64 {
+        (lines + self.message_overhead) * messages
     }
 
     /// Counts messages; gives their lines with all overhead.
     fn send(&mut self, lines: f64, messages: f64) -> f64 {
-        let lines = (lines + self.message_overhead) * messages;
+        let lines = self.with_overhead(lines, messages);
         self.round.lines += lines;
         self.round.messages += messages;
         self.count(lines);
@@ -127,53 +202,92 @@
 
     fn count(&mut self, lines: f64) {
         self.sent += lines;
+        self.undecided_lines += lines;
         self.waiting_at_stated_rate += lines;
         self.waiting_at_slow_rate += lines;
     }
 
-    /// Ends a round: all that was sent since the last one. Gives the mark that its messages carry, if one is due.
-    pub(crate) fn end_round(&mut self, now: Time) -> Option<MarkId> {
-        let Round { lines, messages } = std::mem::take(&mut self.round);
-        let due = self.marked_at.is_none_or(|at| now - at >= MARK_INTERVAL);
-        if messages == 0.0 || !due || !self.can_mark {
+    /// Ends a round of so many orders: all that was sent since the last one. Gives the mark that its messages carry, if
+    /// one is due.
+    pub(crate) fn end_round(&mut self, now: Time, orders: usize) -> Option<MarkId> {
+        let Round { messages, lines } = std::mem::take(&mut self.round);
+        self.undecided_orders += orders;
+        let late = self.marked_at.is_none_or(|at| now - at >= MARK_INTERVAL);
+        let much = self.sent - self.marked_up_to > self.line_limit * UNMARKED_PART;
+        if messages == 0.0 || !self.can_mark || !(late || much) {
             return None;
         }
-        let id = self.next_mark;
-        self.next_mark = MarkId(id.0.wrapping_add(1));
-        self.marked_at = Some(now);
+        let lines_before = self.sent - lines;
         // One line for each marked message.
         self.count(messages);
         self.sent_for.marks += messages;
-        let (lines_before, lines) = (self.sent - lines - messages, lines + messages);
+        self.undecided_orders += 1;
+        Some(self.open_mark(now, lines_before, messages))
+    }
+
+    fn open_mark(&mut self, sent_at: Time, lines_before: f64, messages: f64) -> MarkId {
+        let id = self.next_mark;
+        self.next_mark = MarkId(id.0.wrapping_add(1));
+        self.marked_at = Some(sent_at);
+        self.marked_up_to = self.sent;
         if self.open_marks.len() == MAX_OPEN_MARKS {
             self.open_marks.pop_front();
         }
-        self.open_marks.push_back(OpenMark { id, sent_at: now, lines_before, lines, messages, answers: 0.0 });
-        Some(id)
+        let lines_after = self.sent;
+        self.open_marks.push_back(OpenMark {
+            id,
+            sent_at,
+            lines_before,
+            lines_after,
+            messages,
+            answers: 0.0,
+        });
+        id
     }
 
-    /// A proxy has applied a message with this mark, and so the channel has sent all lines before that message. Which
-    /// of the round's messages it was is not known: as many as have been answered, less this one, went before it.
+    /// A proxy has applied a message with this mark, and so the channel has sent all lines before its round, and as many
+    /// of the round's messages as were answered. Which ones these were is not known: each has the lines of the
+    /// smallest there can be.
     pub(crate) fn mark_applied(&mut self, now: Time, id: MarkId) {
         let Some(place) = self.open_marks.iter().position(|mark| mark.id == id) else { return };
+        let smallest_message = self.message_overhead + 2.0;
         let mark = &mut self.open_marks[place];
-        let part = (mark.answers / mark.messages).min(1.0);
         mark.answers += 1.0;
         let complete = mark.answers >= mark.messages;
-        let position = mark.lines_before + mark.lines * if complete { 1.0 } else { part };
-        self.confirmed = self.confirmed.max(position);
+        let answered_lines = mark.answers * smallest_message;
+        let position = if complete { mark.lines_after } else { mark.lines_before + answered_lines };
+        self.confirmed = self.confirmed.max(position.min(mark.lines_after));
         self.last_delay = now - mark.sent_at;
         self.answered += 1;
+        (self.quiet_since, self.probe_wait) = (now, PROBE_WAIT);
         // The channel keeps the order: older marks say nothing more.
         self.open_marks.drain(..if complete { place + 1 } else { place });
     }
 
+    /// It is known what became of so many orders, in the order in which they were given. What was surely not taken
+    /// waits nowhere; what may have been counts until a later mark is answered.
+    pub(crate) fn orders_ended(&mut self, orders: usize, outcome: Outcome) {
+        let part = orders as f64 / self.undecided_orders.max(orders).max(1) as f64;
+        let lines = self.undecided_lines * part;
+        self.undecided_lines -= lines;
+        self.undecided_orders = self.undecided_orders.saturating_sub(orders);
+        if outcome != Outcome::NotTaken {
+            return;
+        }
+        self.sent = (self.sent - lines).max(self.confirmed);
+        self.marked_up_to = self.marked_up_to.min(self.sent);
+        self.waiting_at_stated_rate = (self.waiting_at_stated_rate - lines).max(0.0);
+        self.waiting_at_slow_rate = (self.waiting_at_slow_rate - lines).max(0.0);
+        let sent = self.sent;
+        self.open_marks.retain(|mark| mark.lines_after <= sent);
+    }
+
     pub(crate) fn report(&self) -> ChannelReport {
         ChannelReport {
             line_limit: self.line_limit,
             waiting_at_stated_rate: self.waiting_at_stated_rate,
             waiting_at_slow_rate: self.waiting_at_slow_rate,
-            unconfirmed: self.can_mark.then_some(self.sent - self.confirmed),
+            unconfirmed: self.can_mark.then_some(self.waiting()),
             sent_for: self.sent_for,
             held_back_for: self.held_back_for,
             marks_answered: self.answered,
--- a/tests/common/mod.rs
+++ b/tests/decisions/common.rs
@@ -79,7 +79,9 @@
 /// Lines on their way to proxies, by the ticket's figures.
 #[derive(Default)]
 struct Channel {
+    stated_rate: f64,
     rate: f64,
+    loses_marks: bool,
     head: f64,
     most: f64,
     waiting: f64,
@@ -102,7 +104,8 @@
         self.waiting -= sent;
         self.sent += sent;
         let out = self.marked.iter().take_while(|(lines, _)| *lines <= self.sent + 1e-6).count();
-        self.marked.drain(..out).map(|(_, mark)| mark).collect()
+        let marks = self.marked.drain(..out).map(|(_, mark)| mark);
+        if self.loses_marks { Vec::new() } else { marks.collect() }
     }
 }
 
@@ -112,6 +115,7 @@
         let cap = if ticket.message_cap == 0 { usize::MAX } else { ticket.message_cap as usize };
         let kinds = ticket.kinds.len();
         let channel = Channel {
+            stated_rate: ticket.channel_rate,
             rate: ticket.channel_rate,
             head: ticket.lines_per_message,
             most: ticket.most_waiting,
@@ -241,6 +245,21 @@
         }
     }
 
+    /// From now on the channel sends at this part of its stated rate.
+    pub fn slow_channel_to(&mut self, part: f64) {
+        self.channel.rate = self.channel.stated_rate * part;
+    }
+
+    /// Whether answers to marks are lost from now on.
+    pub fn lose_marks(&mut self, lost: bool) {
+        self.channel.loses_marks = lost;
+    }
+
+    /// Lines that the channel was given since the start.
+    pub fn lines_ordered(&self) -> f64 {
+        self.channel.sent + self.channel.waiting
+    }
+
     fn used(&self) -> BTreeSet<TableId> {
         self.proxies.values().flat_map(|p| p.tables.values()).copied().collect()
     }
--- a/tests/decisions.rs
+++ b/tests/decisions/main.rs
@@ -1,5 +1,6 @@
 //! The module's rules under random runs, and a few plain cases, each for a failure that was met once.
 
+mod channel;
 mod common;
 
 use common::{SECOND, Shop, host, listing, ms, ticket};
