Late orders: drains overtake no full queue, zone tables are counted, nothing is judged early

- A drain waits behind all that went before it.
Updates that can wait now stop at a window of lines that reach the proxies within 0.4 of the grace for drains, by Little's law on answered marks.
- Bindings to a zone's own table were not counted (decide.rs, bind_joined).
- Hosts were silent, and levels cut again, before their orders had arrived (judge, set_levels).
- Calls without an answer reset the wait of the next try, lest a drain waits for a doubled one after the relay's return.

Each has a test in tests/decisions/channel.rs, seen to fail before.

--- a/crates/job-ticket/src/lib.rs
+++ b/crates/job-ticket/src/lib.rs
@@ -121,6 +121,7 @@
         start_capacity: number(&rules["startCapacity"]),
         cold: span(&rules["cold"]),
         crossing_price: number(&all["prices"]["crossZone"]),
+        drain_grace: span(&rules["stopSendingWithin"]),
         gone_is_no_drain: rules["removalNotBinding"].as_bool().unwrap_or(false),
     };
     Ok((ticket, names))
--- a/crates/platform-steward/tests/town/mod.rs
+++ b/crates/platform-steward/tests/town/mod.rs
@@ -47,8 +47,8 @@
     messages: BTreeMap<ProxyId, Vec<u64>>,
     forgiven: u64,
     empty_since: BTreeMap<ProxyId, u64>,
-    /// Marks that were ordered, by their numbers.
-    pub marks: Vec<u16>,
+    /// Marked messages whose proxies have not answered yet.
+    marked: Vec<(ProxyId, MarkId)>,
 }
 
 fn name(n: usize) -> String {
@@ -93,7 +93,7 @@
             messages: BTreeMap::new(),
             forgiven: now,
             empty_since: BTreeMap::new(),
-            marks: Vec::new(),
+            marked: Vec::new(),
         };
         town.tells_all();
         town.core.handle(town.time(), Input::Relay { up: true });
@@ -117,6 +117,9 @@
             if self.core.wake_at().is_some_and(|at| at <= self.time()) {
                 self.core.handle(self.time(), Input::Clock);
             }
+            for (proxy, mark) in std::mem::take(&mut self.marked) {
+                self.core.handle(self.time(), Input::News(News::Applied { proxy, mark }));
+            }
             if self.now.is_multiple_of(1_000_000) {
                 self.news(News::Ping);
             }
@@ -150,8 +153,11 @@
             _ => {}
         }
         let mut told = BTreeSet::new();
+        let mark = orders.iter().find(|order| order["verb"] == "mark");
+        let mark = mark.map(|order| MarkId(order["nonce_out"].as_u64().expect("a number") as u16));
         let taken = orders.iter().take_while(|order| self.order(order, &mut told)).count() as u64;
         for proxy in told {
+            self.marked.extend(mark.map(|mark| (proxy, mark)));
             self.messages.entry(proxy).or_default().push(self.now);
         }
         self.stopped += usize::from(taken < orders.len() as u64);
@@ -164,7 +170,6 @@
 
     fn order(&mut self, order: &Value, told: &mut BTreeSet<ProxyId>) -> bool {
         if order["verb"] == "mark" {
-            self.marks.push(order["nonce_out"].as_u64().expect("a number") as u16);
             return true;
         }
         let table = order["cluster"].as_u64().expect("a table") as u16;
--- a/crates/platform-wire/tests/wire.rs
+++ b/crates/platform-wire/tests/wire.rs
@@ -223,3 +223,18 @@
         relay::read(&String::from_utf8_lossy(&bytes));
     }
 }
+
+#[test]
+fn marks_are_ordered_and_their_answers_are_read() {
+    let order = relay::order(&Ruling::Mark(MarkId(905)), &[]);
+    assert_eq!(order.as_deref(), Some("{\"verb\":\"mark\",\"nonce_out\":905,\"flag\":0}"));
+    let applied = |seq: &str| {
+        let params = format!("{{\"id\":17,\"seq\":{seq},\"ms\":310.4}}");
+        relay::read(&format!("{{\"jsonrpc\":\"2.0\",\"method\":\"applied\",\"params\":{params}}}"))
+    };
+    let known = News::Applied { proxy: ProxyId(17), mark: MarkId(905) };
+    assert_eq!(applied("905"), Some(Line::News(known)));
+    for wrong in ["65536", "-1", "\"905\"", "1.5", "null"] {
+        assert_eq!(applied(wrong), None, "{wrong}");
+    }
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -447,6 +447,8 @@
         let open = self.hosts.iter().filter(|h| self.ready.open(h, now)).count();
         let out = self.hosts.iter().filter(|h| h.out_until.is_some()).count();
         let mut spare = ((open as f64 * OUT_MOST) as usize).saturating_sub(out);
+        // What was ordered a moment ago may not have reached the proxies.
+        let delay = self.channel.lateness(now);
         // Tries a second that a host should see end, by our own bindings, weights and levels.
         let mut per_weight = vec![0.0; self.boards.len()];
         self.hosts.iter().flat_map(|h| &h.places).for_each(|place| per_weight[place.table] += place.sent);
@@ -466,7 +468,7 @@
             let fails = host.failing().is_some_and(|share| share > median + (1.0 - median) * FAILING_OVER);
             // No line while peers' lines come: hung or vanished, long before its tries time out. Sums that
             // are late for all make nobody silent.
-            let quiet = self.newest_line - host.heard.max(host.in_use_since);
+            let quiet = self.newest_line - host.heard.max(host.in_use_since + delay);
             let silent = expected * quiet.secs() > SILENT_TRIES && quiet.secs() > self.lag * SILENT_LAGS;
             let bad = (fails || silent) && spare > 0 && *warm_left > 1 && host.standing == Standing::Open;
             if let Some(until) = host.out_until {
@@ -558,7 +560,9 @@
         self.strain = strain;
         // The first sums after a start tell of a few tries: a cut to those would refuse nearly all.
         let since = self.cut_at.max(self.first_line.unwrap_or(self.now));
-        if strain > 1.0 && self.now - since >= CUT_WAIT && demand > 0.0 {
+        // A cut shows once it has reached the proxies.
+        let wait = CUT_WAIT + self.channel.lateness(self.now);
+        if strain > 1.0 && self.now - since >= wait && demand > 0.0 {
             self.let_in = Some(self.let_in.unwrap_or(demand).min(demand).min(peak) * CUT);
             self.cut_at = self.now;
         } else if strain <= 1.0 {
@@ -804,7 +808,7 @@
                 continue;
             }
             let scope = match () {
-                () if serves[t] == 0 || !self.channel.is_half_full() => UpdateScope::All,
+                () if serves[t] == 0 || !self.channel.is_congested(now) => UpdateScope::All,
                 () if serves[t] < TABLE_LEAST => UpdateScope::RisksAndNewcomers,
                 () => UpdateScope::Risks,
             };
@@ -878,7 +882,10 @@
                     self.boards[t].messages.clear();
                 }
             }
-            let lines = self.binding_lines(table);
+            let own = self.ready.own_table(zone).unwrap_or(table);
+            let pairs = [(table, self.ready.free.clone()), (own, self.ready.confined.clone())];
+            let pairs: Vec<_> = pairs.into_iter().filter(|(_, kinds)| !kinds.is_empty()).collect();
+            let lines = pairs.iter().map(|(table, _)| self.binding_lines(*table)).sum();
             if !self.channel.admits_binding(self.now, lines) {
                 break;
             }
@@ -892,10 +899,8 @@
                 }
                 self.boards[t].bound += 1;
             }
-            let own = self.ready.own_table(zone).unwrap_or(table);
-            let pairs = [(table, &self.ready.free), (own, &self.ready.confined)];
-            for (table, kinds) in pairs.into_iter().filter(|(_, kinds)| !kinds.is_empty()) {
-                let kinds = if self.ready.own_tables == 0 { Vec::new() } else { kinds.clone() };
+            for (table, kinds) in pairs {
+                let kinds = if self.ready.own_tables == 0 { Vec::new() } else { kinds };
                 self.out.push_back(Ruling::Bind { proxy: id, table: TableId(table as u16), kinds });
             }
         }
--- a/src/decide/channel.rs
+++ b/src/decide/channel.rs
@@ -23,6 +23,12 @@
 const EXPEDITED_PART: f64 = 0.5;
 const HAZARD_PART: f64 = 0.75;
 const URGENT_PART: f64 = 0.95;
+/// Part of the grace for drains that a message may take to its proxy while updates that can wait still go out, as a drain
+/// waits behind all that went before it; hazards go out for this many times that.
+const DELAY_PART: f64 = 0.4;
+const HAZARD_DELAYS: f64 = 2.5;
+/// Growth of the window for each mark that was answered in time while at least half of the window was in use.
+const WINDOW_GROWTH: f64 = 1.25;
 /// Without any answer for this long, one update goes out however full the queue seems, as answers may have been lost with
 /// their proxies or with the news; the wait doubles up to its maximum until an answer comes.
 const PROBE_WAIT: Span = Span::from_millis(1_000);
@@ -48,6 +54,8 @@
     /// Lines sent before this round, in all, and once it is sent.
     lines_before: f64,
     lines_after: f64,
+    /// Lines that waited before it.
+    waiting_before: f64,
     messages: f64,
     answers: f64,
 }
@@ -65,6 +73,7 @@
     stated_rate: f64,
     line_limit: f64,
     message_overhead: f64,
+    drain_grace: Span,
     /// Whether proxies answer marks.
     can_mark: bool,
     /// Lines that wait if the channel sends as stated, and if it is in a slow spell.
@@ -77,6 +86,9 @@
     sent_for: LineCounts,
     held_back_for: LineCounts,
     open_marks: VecDeque<OpenMark>,
+    /// Lines that may wait while updates that can wait still go out: as many as reach their proxies in time, by what was
+    /// measured.
+    window: f64,
     next_mark: MarkId,
     marked_at: Option<Time>,
     /// Lines sent when a round was marked last.
@@ -98,7 +110,9 @@
             stated_rate: ticket.channel_rate.max(1.0),
             line_limit: if ticket.most_waiting > 0.0 { ticket.most_waiting } else { f64::INFINITY },
             message_overhead: ticket.lines_per_message,
+            drain_grace: ticket.drain_grace,
             can_mark: ticket.marks,
+            window: f64::INFINITY,
             next_mark: first_mark,
             quiet_since: now,
             probe_wait: PROBE_WAIT,
@@ -120,9 +134,43 @@
         if self.can_mark { self.sent - self.confirmed } else { self.waiting_at_stated_rate }
     }
 
+    /// From sending a message until it is known to have been applied, as far as that is known by now: the last time, or
+    /// for as long as a mark has waited for its first answer. Zero where nothing waits or nothing can be measured.
+    fn delay(&self, now: Time) -> Span {
+        if !self.can_mark || self.waiting() < 1.0 {
+            return Span::ZERO;
+        }
+        self.last_delay.max(self.unanswered_for(now))
+    }
+
+    /// How much longer than usual a message takes to its proxy: what is ordered shows that much later.
+    pub(crate) fn lateness(&self, now: Time) -> Span {
+        let delay = self.delay(now);
+        if delay > self.max_delay() { delay } else { Span::ZERO }
+    }
+
+    /// How long a mark has waited for its first answer by now.
+    fn unanswered_for(&self, now: Time) -> Span {
+        let unanswered = self.open_marks.iter().find(|mark| mark.answers == 0.0);
+        unanswered.map_or(Span::ZERO, |mark| now - mark.sent_at)
+    }
+
+    /// The longest delay at which updates that can wait still go out.
+    fn max_delay(&self) -> Span {
+        self.drain_grace.times(DELAY_PART)
+    }
+
+    /// Whether so many lines more would leave a drain that follows them in time.
+    fn is_quick(&self, now: Time, lines: f64, times: f64) -> bool {
+        let in_time = self.unanswered_for(now) <= self.max_delay().times(times);
+        self.drain_grace == Span::ZERO
+            || self.waiting() < 1.0
+            || in_time && self.waiting() + lines <= self.window * times
+    }
+
     /// Whether what can wait has to: nothing but risks goes out.
-    pub(crate) fn is_half_full(&self) -> bool {
-        self.waiting() >= self.line_limit * EXPEDITED_PART
+    pub(crate) fn is_congested(&self, now: Time) -> bool {
+        self.waiting() >= self.line_limit * EXPEDITED_PART || !self.is_quick(now, 0.0, 1.0)
     }
 
     /// Whether the queue has room for an update.
@@ -138,9 +186,11 @@
             UpdateReason::Ordinary if !self.can_mark => {
                 self.waiting_at_slow_rate < self.line_limit * ORDINARY_PART
             }
-            UpdateReason::Ordinary => self.has_room(lines, ORDINARY_PART),
-            UpdateReason::Expedited => self.has_room(lines, EXPEDITED_PART),
-            UpdateReason::Hazard => self.has_room(lines, HAZARD_PART),
+            UpdateReason::Ordinary => self.has_room(lines, ORDINARY_PART) && self.is_quick(now, lines, 1.0),
+            UpdateReason::Expedited => self.has_room(lines, EXPEDITED_PART) && self.is_quick(now, lines, 1.0),
+            UpdateReason::Hazard => {
+                self.has_room(lines, HAZARD_PART) && self.is_quick(now, lines, HAZARD_DELAYS)
+            }
             UpdateReason::Drain => self.has_room(lines, URGENT_PART),
         };
         let admitted = fits || self.takes_probe(now);
@@ -233,15 +283,16 @@
         if self.open_marks.len() == MAX_OPEN_MARKS {
             self.open_marks.pop_front();
         }
-        let lines_after = self.sent;
-        self.open_marks.push_back(OpenMark {
+        let mark = OpenMark {
             id,
             sent_at,
             lines_before,
-            lines_after,
+            lines_after: self.sent,
+            waiting_before: lines_before - self.confirmed,
             messages,
             answers: 0.0,
-        });
+        };
+        self.open_marks.push_back(mark);
         id
     }
 
@@ -257,11 +308,28 @@
         let answered_lines = mark.answers * smallest_message;
         let position = if complete { mark.lines_after } else { mark.lines_before + answered_lines };
         self.confirmed = self.confirmed.max(position.min(mark.lines_after));
-        self.last_delay = now - mark.sent_at;
+        let first = (mark.answers == 1.0).then_some((now - mark.sent_at, mark.waiting_before));
         self.answered += 1;
         (self.quiet_since, self.probe_wait) = (now, PROBE_WAIT);
         // The channel keeps the order: older marks say nothing more.
         self.open_marks.drain(..if complete { place + 1 } else { place });
+        if let Some((delay, waiting)) = first {
+            self.last_delay = delay;
+            self.adapt_window(delay, waiting);
+        }
+    }
+
+    /// So many lines took so long: by Little's law as many more or fewer go through in the longest time that is allowed.
+    fn adapt_window(&mut self, delay: Span, waiting: f64) {
+        if self.drain_grace == Span::ZERO {
+            return;
+        }
+        if delay > self.max_delay() {
+            let least = self.stated_rate / SLOW_CHANNEL * self.max_delay().secs();
+            self.window = self.window.min(waiting * (self.max_delay() / delay)).max(least);
+        } else if waiting * 2.0 >= self.window {
+            self.window *= WINDOW_GROWTH;
+        }
     }
 
     /// It is known what became of so many orders, in the order in which they were given. What was surely not taken
@@ -271,6 +339,10 @@
         let lines = self.undecided_lines * part;
         self.undecided_lines -= lines;
         self.undecided_orders = self.undecided_orders.saturating_sub(orders);
+        if outcome == Outcome::Unknown {
+            // Perhaps none of it waits: that is to be found out as soon as calls are answered again.
+            self.probe_wait = PROBE_WAIT;
+        }
         if outcome != Outcome::NotTaken {
             return;
         }
--- a/src/types.rs
+++ b/src/types.rs
@@ -117,6 +117,8 @@
     pub start_capacity: f64,
     pub cold: Span,
     pub gone_is_no_drain: bool,
+    /// Time within which proxies have to stop sending to a host once it is known to drain or to be gone; zero: none stated.
+    pub drain_grace: Span,
     pub crossing_price: f64,
     /// Whether proxies say when they have applied a marked message.
     pub marks: bool,
--- a/tests/decisions/channel.rs
+++ b/tests/decisions/channel.rs
@@ -7,6 +7,7 @@
 
 const PROXIES: u16 = 200;
 const HOSTS: usize = 160;
+const DRAIN_GRACE: Span = Span::from_millis(2_300);
 
 /// A limit of twice what all proxies take at their start.
 fn site() -> Shop {
@@ -15,6 +16,7 @@
             channel_rate: 2_000.0,
             most_waiting: 4_800.0,
             report_every: ms(500),
+            drain_grace: DRAIN_GRACE,
             ..ticket(PROXIES.into())
         },
         HOSTS,
@@ -136,3 +138,114 @@
     }
     assert_eq!(bound, usize::from(PROXIES), "all are ordered in the last round as in the first");
 }
+
+/// Whether what the steward takes to have sent is at least what the channel was given.
+fn counts_all_lines(shop: &Shop) -> bool {
+    let sent = shop.steward.glance().channel.sent_for;
+    let counted = sent.bindings + sent.drains + sent.hazards + sent.expedited + sent.ordinary + sent.marks;
+    counted + 1e-6 >= shop.lines_ordered()
+}
+
+#[test]
+fn no_line_is_left_out_of_the_count() {
+    let mut shop = site();
+    shop.run(10_000, changing_sums);
+    assert!(counts_all_lines(&shop));
+}
+
+/// A proxy with kinds confined to its zone is bound to two tables, and the zone's own is the longer one by far.
+#[test]
+fn bindings_to_the_table_of_a_zone_are_counted() {
+    let mut ticket = JobTicket { channel_rate: 2_000.0, most_waiting: 100_000.0, ..ticket(PROXIES.into()) };
+    ticket.kinds[1].own_zone = true;
+    let mut shop = Shop::open(ticket, HOSTS);
+    (0..PROXIES).for_each(|n| shop.join(n, true, 2.0));
+    shop.run(10_000, changing_sums);
+    assert!(counts_all_lines(&shop));
+}
+
+/// The queue is first in, first out: a drain waits behind all that went before. On a slow channel that must not take longer
+/// than the grace for drains, once the spell has been noticed.
+#[test]
+fn a_drain_does_not_wait_behind_what_could_have_waited() {
+    for part in [0.5, 0.25, 0.125] {
+        let mut shop = site();
+        shop.run(5_000, changing_sums);
+        shop.slow_channel_to(part);
+        shop.run(10_000, changing_sums);
+        for _ in 0..40 {
+            shop.run(500, changing_sums);
+            let wait = shop.queue_seconds();
+            assert!(wait <= DRAIN_GRACE.secs(), "a drain would wait for {wait:.1} s at {part} of the rate");
+        }
+    }
+}
+
+/// All proxies come at once on a slow channel: for seconds they send by the tables they had, to half of the hosts. That
+/// nothing is heard of the others says nothing of them, while what was ordered is still on its way.
+#[test]
+fn hosts_are_not_silent_before_their_tables_have_arrived() {
+    let ticket = JobTicket {
+        channel_rate: 2_000.0,
+        most_waiting: 4_800.0,
+        report_every: ms(500),
+        drain_grace: DRAIN_GRACE,
+        ..ticket(PROXIES.into())
+    };
+    let mut shop = Shop::open(ticket, HOSTS);
+    shop.slow_channel_to(0.125);
+    (0..PROXIES).for_each(|n| shop.join(n, false, 4.0));
+    shop.run(6_000, |shop| (0..HOSTS).step_by(2).for_each(|n| shop.met(n, 10.0, 0.0, 40)));
+    assert!(shop.queue_seconds() > 1.0, "the tables have arrived");
+    let kept_out = shop.steward.glance().kept_out.len();
+    assert_eq!(kept_out, 0, "{kept_out} hosts are taken for silent");
+}
+
+/// A cut of levels is on its way for seconds: strain that goes on meanwhile is no reason to cut again.
+#[test]
+fn levels_are_not_cut_again_before_the_cut_has_arrived() {
+    let mut shop = site();
+    shop.run(5_000, |shop| (0..HOSTS).for_each(|n| shop.met(n, 12.0, 0.0, 40)));
+    shop.slow_channel_to(0.0);
+    shop.run(20_000, |shop| (0..HOSTS).for_each(|n| shop.met(n, 12.0, 6.0, 40)));
+    let glance = shop.steward.glance();
+    let served = glance.levels.iter().sum::<f64>() / glance.levels.len() as f64;
+    assert!(served > 0.6, "levels of {:?} for strain that no order has reached", glance.levels);
+}
+
+/// For 20 s no call is answered, and none was carried out. Once calls are taken again, a drain must not wait until it is
+/// clear that nothing of all that waits.
+#[test]
+fn a_drain_goes_out_soon_after_calls_without_an_answer() {
+    let ticket = JobTicket { channel_rate: 2_000.0, most_waiting: 4_800.0, ..ticket(PROXIES.into()) };
+    let now = |millis: u64| Time::from_micros(100 * SECOND + millis * 1_000);
+    let mut steward = Steward::open(ticket, 7, now(0));
+    let hosts = (0..HOSTS).map(|n| listing(n, Standing::Open, Time::default())).collect();
+    steward.list_came(now(0), 1, true, hosts);
+    (0..PROXIES).for_each(|n| steward.proxy_joined(now(0), ProxyId(n), true, 2.0, ZoneId(n % 4)));
+    let mut marks: Vec<(u64, MarkId)> = Vec::new();
+    let mut drained = Vec::new();
+    for millis in (0..24_000).step_by(250) {
+        steward.woke(now(millis));
+        let answers = millis >= 20_000;
+        if millis == 20_500 {
+            steward.list_came(now(millis), 2, false, vec![listing(7, Standing::Draining, Time::default())]);
+        }
+        marks
+            .iter()
+            .filter(|(at, _)| *at + 250 == millis)
+            .for_each(|(_, m)| steward.mark_applied(now(millis), *m));
+        let all = std::iter::from_fn(|| steward.next(now(millis)));
+        let orders: Vec<Ruling> = all.filter(|order| !matches!(order, Ruling::WakeIn(_))).collect();
+        for order in orders.iter().filter(|_| answers) {
+            match order {
+                Ruling::Mark(mark) => marks.push((millis, *mark)),
+                Ruling::Deal { host: out, weight: None, .. } if *out == host(7) => drained.push(millis),
+                _ => {}
+            }
+        }
+        steward.carried_out(now(millis), &orders, if answers { Outcome::Taken } else { Outcome::Unknown });
+    }
+    let last = drained.last().expect("the drain was ordered");
+    assert!(*last <= 22_000, "ordered at {drained:?} ms");
+}
--- a/tests/decisions/common.rs
+++ b/tests/decisions/common.rs
@@ -255,6 +255,11 @@
         self.channel.loses_marks = lost;
     }
 
+    /// How long a message that is sent now takes to leave the channel.
+    pub fn queue_seconds(&self) -> f64 {
+        self.channel.waiting / self.channel.rate
+    }
+
     /// Lines that the channel was given since the start.
     pub fn lines_ordered(&self) -> f64 {
         self.channel.sent + self.channel.waiting
