--- a/src/decide/glance.rs
+++ b/src/decide/glance.rs
@@ -1,6 +1,6 @@
 //! What a steward believes, for logs: read from its records, and no part of any decision.
 
-use super::{STAND_IN_UNTIL, Steward};
+use super::{MIN_STRONG_PART, Steward};
 use crate::types::{Glance, Host, Span, median};
 
 /// Tallied tries that errored from which a host is named.
@@ -16,7 +16,7 @@
             open: self.hosts.iter().filter(|h| self.ready.open(h, self.now)).count(),
             kept_out: named(&|h| h.out_until.is_some()),
             on_trial: named(&|h| h.trial_since.is_some()),
-            eased: named(&|h| h.eased > 1.0 - STAND_IN_UNTIL),
+            eased: named(&|h| h.eased > 1.0 - MIN_STRONG_PART),
             errored: (self.hosts.iter().filter(|h| h.errored > NAMED_FROM))
                 .map(|h| (h.id.clone(), h.tries, h.errored / h.tries))
                 .collect(),
