Tests: lost answers, broken news and a steward that stood still, on a slow channel

In the first form the drain was missing after SIGSTOP: the test's own discovery told each new watch the drain 14 s after that watch had begun, and the steward renews a watch that was silent. Discovery now goes by the test's start.

--- a/crates/cli/tests/platform/channel.rs
+++ b/crates/cli/tests/platform/channel.rs
@@ -40,25 +40,26 @@
     (0..HOSTS).map(|n| host(1, n, "Ready")).collect()
 }
 
-/// Lists all hosts, and one of them as draining after a while.
-fn discovery_with_a_drain() -> (SocketAddr, Lines) {
-    watched_discovery(
-        1,
-        Some(|_, line| {
-            line(&list_of(2, &ready_hosts()))?;
-            for _ in 0..DRAIN_AFTER.as_secs() {
-                thread::sleep(Duration::from_secs(1));
-                line("")?;
+/// Lists all hosts, and one of them as draining some time after `begun`.
+fn discovery_with_a_drain(begun: Instant) -> (SocketAddr, Lines) {
+    scripted_discovery(1, move |_, line| {
+        line(&list_of(2, &ready_hosts()))?;
+        let drain_at = begun + DRAIN_AFTER;
+        loop {
+            let left = drain_at.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                break;
             }
-            let drained = list_of(3, &[host(1, DRAINED, "Terminating")]);
-            line(&drained.replace("\"reset\":true", "\"reset\":false"))?;
-            for _ in 0..30 {
-                thread::sleep(Duration::from_secs(1));
-                line("")?;
-            }
-            Some(())
-        }),
-    )
+            thread::sleep(left.min(Duration::from_secs(1)));
+            line("")?;
+        }
+        let drained = list_of(3, &[host(1, DRAINED, "Terminating")]);
+        line(&drained.replace("\"reset\":true", "\"reset\":false"))?;
+        loop {
+            thread::sleep(Duration::from_secs(1));
+            line("")?;
+        }
+    })
 }
 
 /// Tells of tries at all hosts that proxies hold, and of the proxies' requests, twice a second. A fifth of the hosts fails
@@ -97,19 +98,39 @@
     log: String,
 }
 
-/// The channel is as stated at first; each rate holds from that many seconds after the start.
-fn play(rates: &[(u64, f64)]) -> Outcome {
+/// What happens, so many seconds after the start. The channel is as stated at first.
+#[derive(Clone, Copy)]
+enum Fault {
+    Rate(f64),
+    LoseAnswers(bool),
+    BreakNews,
+    /// The steward stands still (SIGSTOP), or goes on (SIGCONT).
+    Stop,
+    Continue,
+}
+
+fn strike(fault: Fault, steward: &Steward, relay: &ChannelRelay) {
+    match fault {
+        Fault::Rate(rate) => relay.set_rate(rate),
+        Fault::LoseAnswers(lost) => relay.lose_answers(lost),
+        Fault::BreakNews => relay.break_news(),
+        Fault::Stop => steward.signal("-STOP"),
+        Fault::Continue => steward.signal("-CONT"),
+    }
+}
+
+fn play(faults: &[(u64, Fault)]) -> Outcome {
     let relay = ChannelRelay::start(STATED_RATE, PROXIES);
-    let (discovery, _asked) = discovery_with_a_drain();
-    let steward = Steward::start_configured(|listen| config(listen, discovery, relay.at));
     let begun = Instant::now();
+    let (discovery, _asked) = discovery_with_a_drain(begun);
+    let steward = Steward::start_configured(|listen| config(listen, discovery, relay.at));
     let wait_until = |at: Duration| thread::sleep(at.saturating_sub(begun.elapsed()));
     let over = AtomicBool::new(false);
     thread::scope(|scope| {
         scope.spawn(|| collect_until(&over, &steward, &relay));
-        for (from, rate) in rates {
-            wait_until(Duration::from_secs(*from));
-            relay.set_rate(*rate);
+        for (at, fault) in faults {
+            wait_until(Duration::from_secs(*at));
+            strike(*fault, &steward, &relay);
         }
         wait_until(DRAIN_AFTER + Duration::from_millis(1_500));
         let tables_with_drained = relay.tables_with(&format!("s-1-{DRAINED}"));
@@ -137,14 +158,44 @@
 /// Issue 28: the queue was counted by the stated rate alone, and grew past its limit.
 #[test]
 fn a_slow_channel_keeps_its_queue_short() {
-    let slow = [4.0, 8.0, 20.0].map(|times| thread::spawn(move || play(&[(3, STATED_RATE / times)])));
+    let slow =
+        [4.0, 8.0, 20.0].map(|times| thread::spawn(move || play(&[(3, Fault::Rate(STATED_RATE / times))])));
     slow.into_iter().for_each(|played| assert_kept(&played.join().expect("no panic")));
 }
 
 /// The same, and updates go on once the channel does.
 #[test]
 fn a_channel_that_stands_still_for_a_while_keeps_its_queue_short() {
-    let outcome = play(&[(3, 0.0), (9, STATED_RATE)]);
+    let outcome = play(&[(3, Fault::Rate(0.0)), (9, Fault::Rate(STATED_RATE))]);
     assert_kept(&outcome);
     assert!(outcome.idle_for < Duration::from_secs(2), "no call for {:?}", outcome.idle_for);
 }
+
+/// On a slow channel, calls that were carried out are not answered, so that all is ordered again; and each break of the
+/// news has all proxies bound again.
+#[test]
+fn repeats_on_a_slow_channel_keep_its_queue_short() {
+    assert_kept(&play(&[
+        (3, Fault::Rate(STATED_RATE / 8.0)),
+        (4, Fault::LoseAnswers(true)),
+        (6, Fault::BreakNews),
+        (7, Fault::BreakNews),
+        (8, Fault::LoseAnswers(false)),
+        (9, Fault::BreakNews),
+        (10, Fault::Rate(STATED_RATE)),
+    ]));
+}
+
+/// The steward stands still while its channel does; reports and answers of that time come all at once.
+#[test]
+fn a_steward_that_stood_still_keeps_the_queue_of_a_slow_channel_short() {
+    assert_kept(&play(&[
+        (3, Fault::Rate(STATED_RATE / 8.0)),
+        (5, Fault::Stop),
+        (8, Fault::Continue),
+        (9, Fault::Rate(0.0)),
+        (10, Fault::Stop),
+        (12, Fault::Continue),
+        (12, Fault::Rate(STATED_RATE)),
+    ]));
+}
--- a/crates/cli/tests/platform/channel_relay.rs
+++ b/crates/cli/tests/platform/channel_relay.rs
@@ -5,7 +5,7 @@
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -48,6 +48,8 @@
     most_waiting: f64,
     held: BTreeMap<u16, BTreeSet<String>>,
     watchers: Vec<TcpStream>,
+    /// Calls are carried out and not answered.
+    loses_answers: bool,
     last_call: Option<Instant>,
 }
 
@@ -71,6 +73,19 @@
         self.state().rate = rate;
     }
 
+    /// Whether calls are carried out without an answer from now on.
+    pub fn lose_answers(&self, lost: bool) {
+        self.state().loses_answers = lost;
+    }
+
+    /// Breaks all connections that bring news.
+    pub fn break_news(&self) {
+        for watcher in self.state().watchers.drain(..) {
+            // It may be gone already.
+            watcher.shutdown(Shutdown::Both).ok();
+        }
+    }
+
     /// The most lines that waited at any time.
     pub fn most_waiting(&self) -> f64 {
         self.state().most_waiting
@@ -134,7 +149,14 @@
             continue;
         }
         let orders = call["params"]["changes"].as_array().map(Vec::as_slice).unwrap_or_default();
-        state.lock().expect("no panic").apply(orders);
+        let lost = {
+            let mut state = state.lock().expect("no panic");
+            state.apply(orders);
+            state.loses_answers
+        };
+        if lost {
+            continue;
+        }
         let (id, count) = (&call["id"], orders.len());
         let answer = format!("{{\"jsonrpc\":\"2.0\",\"id\":{id},\"result\":{{\"ok_count\":{count}}}}}\n");
         stream.write_all(answer.as_bytes()).ok()?;
--- a/crates/cli/tests/platform/stage.rs
+++ b/crates/cli/tests/platform/stage.rs
@@ -113,10 +113,19 @@
     party(move |stream, say| discovery_talk(stream, version, watch, &watches, say))
 }
 
+/// Each watch is told what `watch` says.
+pub fn scripted_discovery(
+    version: u64,
+    watch: impl Fn(usize, &mut dyn FnMut(&str) -> Option<()>) -> Option<()> + Clone + Send + 'static,
+) -> (SocketAddr, Lines) {
+    let watches = Arc::new(AtomicUsize::new(0));
+    party(move |stream, say| discovery_talk(stream, version, Some(&watch), &watches, say))
+}
+
 pub fn discovery_talk(
     mut stream: TcpStream,
     version: u64,
-    watch: Option<Watch>,
+    watch: Option<impl Fn(usize, &mut dyn FnMut(&str) -> Option<()>) -> Option<()>>,
     watches: &AtomicUsize,
     say: &Sender<String>,
 ) -> Option<()> {
