--- a/src/decide/channel.rs
+++ b/src/decide/channel.rs
@@ -26,7 +26,7 @@
 /// Part of the grace for drains that a message may take to its proxy while updates that can wait still go out, as a drain
 /// waits behind all that went before it; hazards go out for this many times that.
 const DELAY_PART: f64 = 0.4;
-const HAZARD_DELAYS: f64 = 2.5;
+const HAZARD_DELAYS: f64 = 1.75;
 /// Growth of the window for each mark that was answered in time while at least half of the window was in use.
 const WINDOW_GROWTH: f64 = 1.25;
 /// Without any answer for this long, one update goes out however full the queue seems, as answers may have been lost with
@@ -106,18 +106,19 @@
 impl Channel {
     /// A limit of zero means that none is stated.
     pub(crate) fn new(ticket: &JobTicket, now: Time, first_mark: MarkId) -> Channel {
-        Channel {
+        let mut channel = Channel {
             stated_rate: ticket.channel_rate.max(1.0),
             line_limit: if ticket.most_waiting > 0.0 { ticket.most_waiting } else { f64::INFINITY },
             message_overhead: ticket.lines_per_message,
             drain_grace: ticket.drain_grace,
             can_mark: ticket.marks,
-            window: f64::INFINITY,
             next_mark: first_mark,
             quiet_since: now,
             probe_wait: PROBE_WAIT,
             ..Channel::default()
-        }
+        };
+        channel.window = channel.max_window();
+        channel
     }
 
     /// Lets the models send what they can until `now`.
@@ -160,6 +161,11 @@
         self.drain_grace.times(DELAY_PART)
     }
 
+    /// As many lines as a channel at its stated rate sends in that time: it is never faster.
+    fn max_window(&self) -> f64 {
+        self.stated_rate * self.max_delay().secs()
+    }
+
     /// Whether so many lines more would leave a drain that follows them in time.
     fn is_quick(&self, now: Time, lines: f64, times: f64) -> bool {
         let in_time = self.unanswered_for(now) <= self.max_delay().times(times);
@@ -168,9 +174,10 @@
             || in_time && self.waiting() + lines <= self.window * times
     }
 
-    /// Whether what can wait has to: nothing but risks goes out.
-    pub(crate) fn is_congested(&self, now: Time) -> bool {
-        self.waiting() >= self.line_limit * EXPEDITED_PART || !self.is_quick(now, 0.0, 1.0)
+    /// Whether nothing but risks may go out. By lines alone: where a mere delay kept newcomers out of the tables that lose
+    /// hosts, these shrank from wave to wave of a release, and cold hosts were pushed over.
+    pub(crate) fn is_half_full(&self) -> bool {
+        self.waiting() >= self.line_limit * EXPEDITED_PART
     }
 
     /// Whether the queue has room for an update.
@@ -325,10 +332,10 @@
             return;
         }
         if delay > self.max_delay() {
-            let least = self.stated_rate / SLOW_CHANNEL * self.max_delay().secs();
-            self.window = self.window.min(waiting * (self.max_delay() / delay)).max(least);
+            let fitting = waiting * (self.max_delay() / delay);
+            self.window = self.window.min(fitting).max(self.max_window() / SLOW_CHANNEL);
         } else if waiting * 2.0 >= self.window {
-            self.window *= WINDOW_GROWTH;
+            self.window = (self.window * WINDOW_GROWTH).min(self.max_window());
         }
     }
 
--- a/src/decide/publishing.rs
+++ b/src/decide/publishing.rs
@@ -105,7 +105,7 @@
 
     /// Which differences go out to a table that so many hosts serve.
     fn scope(&self, serving: usize) -> UpdateScope {
-        if serving == 0 || !self.channel.is_congested(self.now) {
+        if serving == 0 || !self.channel.is_half_full() {
             UpdateScope::All
         } else if serving < MIN_TABLE_HOSTS {
             UpdateScope::RisksAndNewcomers
--- a/tests/decisions/channel.rs
+++ b/tests/decisions/channel.rs
@@ -249,3 +249,24 @@
     let last = drained.last().expect("the drain was ordered");
     assert!(*last <= 22_000, "ordered at {drained:?} ms");
 }
+
+/// The same while hosts restart and fail all the time: what cold hosts bring up may not fill the queue for longer either.
+#[test]
+fn a_drain_does_not_wait_behind_hazards() {
+    for part in [0.5, 0.25] {
+        let mut shop = site();
+        shop.run(5_000, changing_sums);
+        shop.slow_channel_to(part);
+        for wave in 0..40 {
+            let cold = (0..HOSTS).skip(wave * 7 % HOSTS).take(10);
+            shop.list(false, cold.map(|n| listing(n, Standing::Open, shop.time())).collect());
+            shop.run(500, changing_sums);
+            let wait = shop.queue_seconds();
+            let noticed = wave >= 10;
+            assert!(
+                !noticed || wait <= DRAIN_GRACE.secs(),
+                "a drain would wait for {wait:.1} s at {part} of the rate"
+            );
+        }
+    }
+}
