--- a/tests/decisions/channel.rs
+++ b/tests/decisions/channel.rs
@@ -88,6 +88,17 @@
     }
 }
 
+fn assert_queue_kept(shop: &Shop) {
+    assert!(shop.most_waiting() <= 1.0, "{:.2} of what may wait", shop.most_waiting());
+}
+
+fn assert_updates_go_on(shop: &mut Shop) {
+    let before = shop.lines_ordered();
+    shop.run(5_000, changing_sums);
+    let lines = shop.lines_ordered() - before;
+    assert!(lines > 2_000.0, "{lines} lines in 5 s");
+}
+
 /// Answers are lost, as when the news break: nothing confirms what was sent, and all the same no update may wait for good.
 #[test]
 fn updates_go_on_after_answers_were_lost() {
@@ -95,12 +106,10 @@
     shop.run(3_000, changing_sums);
     shop.lose_marks(true);
     shop.run(40_000, changing_sums);
-    assert!(shop.most_waiting() <= 1.0, "{:.2} of what may wait", shop.most_waiting());
+    assert_queue_kept(&shop);
     shop.lose_marks(false);
     shop.run(20_000, changing_sums);
-    let before = shop.lines_ordered();
-    shop.run(5_000, changing_sums);
-    assert!(shop.lines_ordered() - before > 2_000.0, "{} lines in 5 s", shop.lines_ordered() - before);
+    assert_updates_go_on(&mut shop);
 }
 
 /// A channel that has stood still goes on: what was held back goes out.
@@ -110,12 +119,10 @@
     shop.run(3_000, changing_sums);
     shop.slow_channel_to(0.0);
     shop.run(60_000, changing_sums);
-    assert!(shop.most_waiting() <= 1.0, "{:.2} of what may wait", shop.most_waiting());
+    assert_queue_kept(&shop);
     shop.slow_channel_to(1.0);
     shop.run(5_000, changing_sums);
-    let before = shop.lines_ordered();
-    shop.run(5_000, changing_sums);
-    assert!(shop.lines_ordered() - before > 2_000.0, "{} lines in 5 s", shop.lines_ordered() - before);
+    assert_updates_go_on(&mut shop);
 }
 
 /// Orders that were refused wait nowhere: a relay that is busy for a while leaves the whole queue to what follows.
