Binding again asks the message cap for room; refused calls and empty updates make no messages

Seen: news that break every 0.6 s while hosts drain and restart brought 13 messages to one proxy within 10 s, 12 may (Town, new test). Lines at fault: bind_proxies pushed a message for each table bound again and asked nothing.

--- a/crates/platform-steward/tests/relay_town.rs
+++ b/crates/platform-steward/tests/relay_town.rs
@@ -136,6 +136,25 @@
     assert!(town.bound.contains_key(&ProxyId(2)) && town.bound.contains_key(&ProxyId(14)));
 }
 
+/// News break again and again, and each time all proxies are bound anew; meanwhile hosts drain and restart. No proxy is
+/// sent more messages than may be.
+#[test]
+fn news_that_break_often_stay_within_the_message_cap() {
+    let mut town = Town::open(30, 60);
+    (0..60).for_each(|n| town.joins(n, true));
+    town.run(3_000);
+    for round in 0..30 {
+        match round % 3 {
+            0 => town.restarts(round % 30),
+            1 => town.drains((round + 7) % 30),
+            _ => {}
+        }
+        town.news_breaks();
+        town.run(600);
+        town.check_cap();
+    }
+}
+
 /// A new discovery may number its versions lower: its whole list counts all the same.
 #[test]
 fn a_whole_list_of_a_lower_version_counts() {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -84,6 +84,8 @@
     urgent: bool,
     woken: bool,
     last_beat: Time,
+    /// When orders were given last.
+    round_at: Time,
     follow_at: Option<Time>,
     channel: Channel,
     news: bool,
@@ -193,6 +195,9 @@
     pub fn carried_out(&mut self, now: Time, orders: &[Ruling], outcome: Outcome) {
         self.now = now;
         self.channel.orders_ended(orders.len(), outcome);
+        if outcome == Outcome::NotTaken {
+            self.uncount_messages(orders);
+        }
         let (stood, refused) = match outcome {
             Outcome::Taken => (orders.len(), None),
             Outcome::Stopped(stood) => (stood.min(orders.len()), orders.get(stood)),
@@ -224,6 +229,17 @@
         }
     }
 
+    /// Orders that were surely not taken made no messages. They were all of the last round.
+    fn uncount_messages(&mut self, orders: &[Ruling]) {
+        for order in orders {
+            if let Ruling::Deal { table, .. } | Ruling::Bind { table, .. } | Ruling::Level { table, .. } =
+                order
+            {
+                self.boards[table.0 as usize].messages.retain(|&at| at != self.round_at);
+            }
+        }
+    }
+
     pub fn proxy_left(&mut self, now: Time, proxy: ProxyId) {
         (self.now, self.news) = (now, true);
         let before = self.demand();
@@ -339,6 +355,9 @@
             matches!(ruling, Ruling::Deal { .. } | Ruling::Bind { .. } | Ruling::Level { .. })
         };
         let orders = self.out.iter().skip(orders_before).filter(is_order).count();
+        if orders > 0 {
+            self.round_at = self.now;
+        }
         self.out.extend(self.channel.end_round(self.now, orders).map(Ruling::Mark));
     }
 
--- a/src/decide/assignment.rs
+++ b/src/decide/assignment.rs
@@ -1,6 +1,6 @@
 //! Which proxy uses which table. Bindings are sticky: a proxy that comes back finds its table again.
 
-use super::publishing::UpdateScope;
+use super::publishing::{DRAIN_MESSAGES, UpdateScope};
 use super::{Steward, UpdateReason, hash};
 use crate::types::*;
 use std::collections::BTreeSet;
@@ -48,6 +48,16 @@
         self.hosts.iter().filter(|host| host.holds(table)).count() + self.levels.len() + 1
     }
 
+    /// Whether the message cap has room to bind a proxy once more, which may hold its table already. News that broke often
+    /// took all messages that there were.
+    fn may_bind_again(&self, table: usize, zone: ZoneId) -> bool {
+        let used = |t: usize| {
+            self.boards[t].messages.iter().filter(|&&at| self.now - at <= self.ready.window).count()
+        };
+        // The first binding was a message too.
+        self.ready.tables_of(table, zone).all(|t| used(t) + 1 + DRAIN_MESSAGES < self.ready.cap)
+    }
+
     /// A joined proxy is answered at once: its standing table may name hosts that are gone or cold.
     pub(super) fn bind_proxies(&mut self) {
         let due = |p: &Proxy| (p.table.is_none() || p.unsure) && self.now >= p.bind_from;
@@ -61,6 +71,9 @@
                 break;
             }
             let (bound_to, zone) = (self.proxies[&id].table, self.proxies[&id].zone);
+            if bound_to.is_some_and(|table| !self.may_bind_again(table, zone)) {
+                continue;
+            }
             let table = bound_to.unwrap_or_else(|| self.choose_table(id));
             for t in self.ready.tables_of(table, zone) {
                 // What nobody held may be old.
--- a/src/decide/publishing.rs
+++ b/src/decide/publishing.rs
@@ -6,7 +6,7 @@
 /// Part of the message cap that expedited updates may use.
 const EXPEDITED_CAP_PART: f64 = 0.8;
 /// Messages of the cap that are for drains alone: no drain may wait.
-const DRAIN_MESSAGES: usize = 2;
+pub(super) const DRAIN_MESSAGES: usize = 2;
 /// Part by which a weight is off before it is sent: less is not noticed.
 const MIN_WEIGHT_CHANGE: f64 = 0.1;
 /// Multiple of its due weight from which a line is a hazard.
@@ -37,7 +37,8 @@
             let Some(reason) = needs[t].reason.filter(|reason| self.is_due(t, *reason)) else { continue };
             let scope = self.scope(needs[t].serving);
             let (lines, bound) = (self.lines_due(t, scope), self.boards[t].bound);
-            if self.channel.admits_update(self.now, reason, lines, bound) {
+            // An update with nothing in scope is no message, and must not count as one.
+            if lines > 0 && self.channel.admits_update(self.now, reason, lines, bound) {
                 self.send_update(t, reason, scope);
             }
         }
