Each update scans its lines once less; one count of a table's messages; lateness in one place

Read once more. send_update scanned all hosts again for lines that its caller had counted: it counts what it puts out. may_bind_again and is_due each counted a table's messages in the window: messages_used serves both. Channel::delay had one caller, lateness, whose comment said another thing than it did.

--- a/src/decide/assignment.rs
+++ b/src/decide/assignment.rs
@@ -51,11 +51,8 @@
     /// Whether the message cap has room to bind a proxy once more, which may hold its table already. News that broke often
     /// took all messages that there were.
     fn may_bind_again(&self, table: usize, zone: ZoneId) -> bool {
-        let used = |t: usize| {
-            self.boards[t].messages.iter().filter(|&&at| self.now - at <= self.ready.window).count()
-        };
-        // The first binding was a message too.
-        self.ready.tables_of(table, zone).all(|t| used(t) + 1 + DRAIN_MESSAGES < self.ready.cap)
+        let mut tables = self.ready.tables_of(table, zone);
+        tables.all(|t| self.messages_used(t) + DRAIN_MESSAGES < self.ready.cap)
     }
 
     /// A joined proxy is answered at once: its standing table may name hosts that are gone or cold.
--- a/src/decide/channel.rs
+++ b/src/decide/channel.rs
@@ -135,18 +135,14 @@
         if self.can_mark { self.sent - self.confirmed } else { self.waiting_at_stated_rate }
     }
 
-    /// From sending a message until it is known to have been applied, as far as that is known by now: the last time, or
-    /// for as long as a mark has waited for its first answer. Zero where nothing waits or nothing can be measured.
-    fn delay(&self, now: Time) -> Span {
+    /// Where messages take longer than they should, the time until what is ordered shows: the delay of the last answer, or
+    /// for as long as a mark has waited for its first one. Zero where all is in time, nothing waits, or nothing can be
+    /// measured.
+    pub(crate) fn lateness(&self, now: Time) -> Span {
         if !self.can_mark || self.waiting() < 1.0 {
             return Span::ZERO;
         }
-        self.last_delay.max(self.unanswered_for(now))
-    }
-
-    /// How much longer than usual a message takes to its proxy: what is ordered shows that much later.
-    pub(crate) fn lateness(&self, now: Time) -> Span {
-        let delay = self.delay(now);
+        let delay = self.last_delay.max(self.unanswered_for(now));
         if delay > self.max_delay() { delay } else { Span::ZERO }
     }
 
--- a/src/decide/publishing.rs
+++ b/src/decide/publishing.rs
@@ -90,11 +90,16 @@
         }
     }
 
+    /// Messages to a proxy of this table that count against the cap, its binding among them.
+    pub(super) fn messages_used(&self, t: usize) -> usize {
+        1 + self.boards[t].messages.iter().filter(|&&at| self.now - at <= self.ready.window).count()
+    }
+
     /// Whether differences have gathered for long enough, and the message cap has room.
     fn is_due(&self, t: usize, reason: UpdateReason) -> bool {
         let board = &self.boards[t];
         let gathered = |least: Span| board.differs_since.is_some_and(|since| self.now - since >= least);
-        let (used, cap) = (board.messages.len() + 1, self.ready.cap); // the bind was one too
+        let (used, cap) = (self.messages_used(t), self.ready.cap);
         let under = |part: f64| (used as f64) < cap as f64 * part;
         match reason {
             UpdateReason::Drain => used < cap,
@@ -126,7 +131,7 @@
 
     /// The differences of one table that are in scope, to all who use it.
     pub(super) fn send_update(&mut self, t: usize, reason: UpdateReason, scope: UpdateScope) {
-        let (now, table, lines) = (self.now, TableId(t as u16), self.lines_due(t, scope));
+        let (now, table, orders_before) = (self.now, TableId(t as u16), self.out.len());
         for host in &mut self.hosts {
             for place in host.places.iter_mut().filter(|place| place.table == t && scope.takes(place)) {
                 (place.sent, place.unsure) = (place.want, false);
@@ -146,7 +151,7 @@
             self.out.push_back(Ruling::Level { table, kind, quota, tries: Tries::AgainIfNeverRun });
         }
         board.differs_since = None;
-        self.channel.send_update(reason, lines, board.bound);
+        self.channel.send_update(reason, self.out.len() - orders_before, board.bound);
         // Where proxies hold two tables, a message on either counts for both.
         let also = if self.ready.own_tables > 0 { 0..self.boards.len() } else { t..t + 1 };
         self.boards[also].iter_mut().for_each(|board| board.messages.push_back(now));
