Log host phases with causes, the message cap's holds, and the load of warming hosts

Change: module transitions (phase, cause of an ejection, new start times), counts of updates held by the message cap and the longest hold of one that a rule asks for, requests and relative load of each warming host; platform log lines 'host phase changed', 'endpoint list applied', 'message cap', 'warming hosts'.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -21,6 +21,7 @@
 use crate::status::StatusSnapshot;
 use crate::tables::{TableLayout, TableState, new_tables};
 use crate::time::Time;
+use crate::transitions::{HostTransition, TransitionLog};
 use crate::update_queue::UpdateQueue;
 use std::collections::VecDeque;
 
@@ -94,6 +95,7 @@
     /// When updates were decided last.
     batch_at: Time,
     decisions: VecDeque<Decision>,
+    transitions: TransitionLog,
 }
 
 impl Controller {
@@ -127,6 +129,7 @@
             timer_handled_at: now,
             batch_at: Time::default(),
             decisions: VecDeque::new(),
+            transitions: TransitionLog::default(),
         }
     }
 
@@ -141,6 +144,14 @@
             admission: &self.admission,
             proxies: &self.proxies,
             queue: &self.queue,
+            tables: &self.tables,
+            update_policy: &self.update_policy,
+            attempts_per_weight: self.attempts_per_weight(&self.traffic()),
         })
     }
+
+    /// Takes the transitions of hosts since the last call, for logs. At most some thousand are kept.
+    pub fn take_host_transitions(&mut self) -> Vec<HostTransition> {
+        self.transitions.take()
+    }
 }
--- a/crates/controller/src/controller/decide.rs
+++ b/crates/controller/src/controller/decide.rs
@@ -22,7 +22,7 @@
 const EPSILON: f64 = 1e-9;
 
 /// What the proxies send, for one round of decisions.
-struct Traffic {
+pub(super) struct Traffic {
     /// Requests a second of the proxies of each shared table.
     usage: Vec<f64>,
     /// Part of all requests that is admitted.
@@ -57,6 +57,8 @@
         if timer_fired || expedite {
             let traffic = self.traffic();
             self.judge_hosts(&traffic);
+            self.transitions
+                .observe(&mut self.hosts, &self.host_policy, self.now);
             self.place_hosts(&traffic);
             if self.update_round().publish_updates() == Published::BatchFull {
                 self.expedite = true;
@@ -107,7 +109,7 @@
         self.hosts.forget_unused(self.now);
     }
 
-    fn traffic(&self) -> Traffic {
+    pub(super) fn traffic(&self) -> Traffic {
         Traffic {
             usage: usage_by_table(self.proxies.iter(), &self.layout),
             admitted_part: self.admission.admitted_part(&self.proxies),
@@ -131,7 +133,7 @@
 
     /// Attempts a second per unit of weight that should end in each table, by our own bindings and admission. Those of zone
     /// tables are not known: they count as none.
-    fn attempts_per_weight(&self, traffic: &Traffic) -> Vec<f64> {
+    pub(super) fn attempts_per_weight(&self, traffic: &Traffic) -> Vec<f64> {
         let mut weights = vec![0.0; self.tables.len()];
         let hosts = self.hosts.iter();
         for membership in hosts.flat_map(|host| host.memberships.iter()) {
--- a/crates/controller/src/host.rs
+++ b/crates/controller/src/host.rs
@@ -7,6 +7,7 @@
 use crate::outlier_detection::Ejection;
 use crate::statistics::stable_hash;
 use crate::time::Time;
+use crate::transitions::NotedPhase;
 use crate::weight_reduction::WeightReduction;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -28,6 +29,8 @@
     pub(crate) ejection: Ejection,
     pub(crate) weight_reduction: WeightReduction,
     pub(crate) memberships: Memberships,
+    /// What was last noted of it for logs.
+    pub(crate) noted_phase: Option<NotedPhase>,
 }
 
 impl Host {
@@ -48,6 +51,7 @@
             ejection: Ejection::default(),
             weight_reduction: WeightReduction::default(),
             memberships: Memberships::default(),
+            noted_phase: None,
         }
     }
 
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -30,6 +30,7 @@
 mod status;
 mod tables;
 mod time;
+mod transitions;
 mod update_queue;
 mod weight_reduction;
 
@@ -38,8 +39,12 @@
 pub use decision::{Decision, UpdateResult};
 pub use endpoint::{Endpoint, EndpointList, EndpointState};
 pub use ids::{AckId, CellId, HostId, MachineTypeId, ProxyId, RequestClassId, TableId, ZoneId};
-pub use outlier_detection::HealthCheckResult;
+pub use outlier_detection::{EjectionCause, HealthCheckResult};
 pub use proxy::JoiningProxy;
 pub use report::{AttemptOutcomes, HostLoad};
-pub use status::{HostFailures, LineCounts, StatusSnapshot, Throughput, UpdateQueueStatus};
+pub use status::{
+    HostFailures, LineCounts, MessageCapStatus, StatusSnapshot, Throughput, UpdateQueueStatus,
+    WarmingHost,
+};
 pub use time::{DurationExt, Time};
+pub use transitions::{HostPhase, HostTransition};
--- a/crates/controller/src/outlier_detection.rs
+++ b/crates/controller/src/outlier_detection.rs
@@ -38,6 +38,7 @@
 #[derive(Default)]
 pub(crate) struct Ejection {
     ejected_until: Option<Time>,
+    cause: Option<EjectionCause>,
     probation_since: Option<Time>,
     /// Ejections, one after another.
     consecutive_ejections: u32,
@@ -57,6 +58,11 @@
         self.ejected_until.is_some()
     }
 
+    /// Why it is ejected; none: it is not.
+    pub(crate) fn cause(&self) -> Option<EjectionCause> {
+        self.cause.filter(|_| self.is_ejected())
+    }
+
     pub(crate) fn is_on_probation(&self) -> bool {
         self.probation_since.is_some()
     }
@@ -68,10 +74,11 @@
 
     /// Ejects it. One that answers checks but fails requests would be back, and failing, most of the time: it stays out
     /// twice as long each time.
-    fn eject(&mut self, now: Time, evidence: Evidence, random: &mut fastrand::Rng) {
-        self.consecutive_ejections = match evidence {
-            Evidence::Failures => (self.consecutive_ejections + 1).min(MAX_EJECTION_DOUBLINGS),
-            Evidence::Silence => 1,
+    fn eject(&mut self, now: Time, cause: EjectionCause, random: &mut fastrand::Rng) {
+        self.cause = Some(cause);
+        self.consecutive_ejections = match cause {
+            EjectionCause::Failures => (self.consecutive_ejections + 1).min(MAX_EJECTION_DOUBLINGS),
+            EjectionCause::Silence => 1,
         };
         let part = MIN_EJECTION_PART + EJECTION_PART_RANGE * random.f64();
         let doublings = f64::from(1 << (self.consecutive_ejections - 1));
@@ -81,8 +88,8 @@
 }
 
 /// Why a host is an outlier.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Evidence {
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EjectionCause {
     /// Its attempts fail where those of its peers do not.
     Failures,
     /// None of the attempts that are expected of it has ended.
@@ -207,9 +214,9 @@
             let is_silent = view.is_silent(host, expected_attempts);
             let failure_ratio = host.stats.failure_ratio();
             let evidence = if failure_ratio.is_some_and(|ratio| ratio > failing_from) {
-                Some(Evidence::Failures)
+                Some(EjectionCause::Failures)
             } else {
-                is_silent.then_some(Evidence::Silence)
+                is_silent.then_some(EjectionCause::Silence)
             };
             if let Some(until) = host.ejection.ejected_until {
                 if self.end_ejection(host, until, view.now, &budget) {
@@ -271,7 +278,7 @@
 }
 
 /// Ends a probation, or forgets ejections of a host that has proved good since.
-fn settle_probation(host: &mut Host, evidence: Option<Evidence>, now: Time) {
+fn settle_probation(host: &mut Host, evidence: Option<EjectionCause>, now: Time) {
     let has_ratio = host.stats.failure_ratio().is_some();
     let ejection = &mut host.ejection;
     match ejection.probation_since {
@@ -281,7 +288,7 @@
             }
         }
         None => {
-            if has_ratio && evidence != Some(Evidence::Failures) {
+            if has_ratio && evidence != Some(EjectionCause::Failures) {
                 ejection.consecutive_ejections = 0;
             }
         }
--- a/crates/controller/src/publishing.rs
+++ b/crates/controller/src/publishing.rs
@@ -93,6 +93,16 @@
     serving: usize,
 }
 
+/// Whether an update may go out now, as far as its table goes.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Due {
+    Now,
+    /// Its differences gather for longer.
+    Gathering,
+    /// Its proxies have been sent as many messages as such an update may use.
+    HeldByCap,
+}
+
 /// Whether all that was due has been looked at.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[must_use]
@@ -137,8 +147,13 @@
             if self.is_full() {
                 return Published::BatchFull;
             }
-            if !self.is_due(table, reason) {
-                continue;
+            match self.due(table, reason) {
+                Due::Now => {}
+                Due::Gathering => continue,
+                Due::HeldByCap => {
+                    self.tables[table].note_held_by_cap(self.now, reason);
+                    continue;
+                }
             }
             let scope = self.scope(needs[table].serving);
             let lines = self.lines_due(table, scope);
@@ -177,6 +192,7 @@
                 need.reason = Some(UpdateReason::Drain);
             }
             table.note_pending(self.now, need.reason.is_some());
+            table.note_safety_due(need.reason >= Some(UpdateReason::Hazard));
         }
         needs
     }
@@ -201,7 +217,7 @@
     }
 
     /// Whether differences have gathered for long enough, and the message cap has room.
-    fn is_due(&self, table: usize, reason: UpdateReason) -> bool {
+    fn due(&self, table: usize, reason: UpdateReason) -> Due {
         let cap = &self.policy.message_cap;
         let table = &self.tables[table];
         let used = table.messages_used(self.now, cap);
@@ -210,15 +226,22 @@
             let pending_since = table.pending_since();
             pending_since.is_some_and(|since| self.now - since >= interval)
         };
-        match reason {
-            UpdateReason::Drain => used < cap.max_messages(),
-            UpdateReason::Hazard => used + DRAIN_MESSAGES < cap.max_messages(),
-            UpdateReason::Expedited => {
-                has_gathered(EXPEDITED_INTERVAL) && is_under(EXPEDITED_CAP_PART)
-            }
-            UpdateReason::Ordinary => {
-                has_gathered(self.policy.gather_interval) && is_under(ORDINARY_CAP_PART)
-            }
+        let (has_gathered, has_room) = match reason {
+            UpdateReason::Drain => (true, used < cap.max_messages()),
+            UpdateReason::Hazard => (true, used + DRAIN_MESSAGES < cap.max_messages()),
+            UpdateReason::Expedited => (
+                has_gathered(EXPEDITED_INTERVAL),
+                is_under(EXPEDITED_CAP_PART),
+            ),
+            UpdateReason::Ordinary => (
+                has_gathered(self.policy.gather_interval),
+                is_under(ORDINARY_CAP_PART),
+            ),
+        };
+        match (has_gathered, has_room) {
+            (false, _) => Due::Gathering,
+            (true, false) => Due::HeldByCap,
+            (true, true) => Due::Now,
         }
     }
 
--- a/crates/controller/src/status.rs
+++ b/crates/controller/src/status.rs
@@ -7,13 +7,17 @@
 use crate::load_reports::LoadReports;
 use crate::placement::MIN_WARM_ENOUGH_PART;
 use crate::proxy::ProxyRegistry;
+use crate::publishing::UpdatePolicy;
 use crate::statistics::median;
+use crate::tables::TableState;
 use crate::time::Time;
-use crate::update_queue::UpdateQueue;
+use crate::update_queue::{UpdateQueue, UpdateReason};
 use std::time::Duration;
 
 /// Failed attempts from which a host is named.
 const NAMED_FROM_FAILURES: f64 = 0.3;
+/// Stands in for a load or a capacity of zero as a divisor.
+const EPSILON: f64 = 1e-9;
 
 /// What a controller believes at one moment.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -44,6 +48,36 @@
     pub throughput: Throughput,
     /// The queue of updates to the proxies.
     pub update_queue: UpdateQueueStatus,
+    /// The messages that each proxy may be sent.
+    pub message_cap: MessageCapStatus,
+    /// Hosts that have started lately.
+    pub warming: Vec<WarmingHost>,
+}
+
+/// A host that has started lately, and what our proxies bring it by the weights that were sent.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WarmingHost {
+    /// The host.
+    pub host: HostId,
+    /// The part of its work that it can do at least.
+    pub warm_part: f64,
+    /// Requests a second that it should get by the weights sent, those of tables for confined classes aside.
+    pub requests_per_s: f64,
+    /// These per unit of its weight that it can carry now, in parts of the fleet's mean; 1: as loaded as the others.
+    pub relative_load: f64,
+}
+
+/// The messages that each proxy may be sent within the window that they are counted in.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct MessageCapStatus {
+    /// Messages that a proxy may be sent; none: any number.
+    pub max_messages: Option<usize>,
+    /// Messages that count against it for the proxies of the table that has most.
+    pub max_used: usize,
+    /// Updates that were due but for the cap, counted each time that they were looked at, by reason.
+    pub held_back_for: LineCounts,
+    /// The longest time for which the cap has held an update back that a rule asks for.
+    pub longest_safety_hold: Duration,
 }
 
 /// Attempts that failed at one host lately; older ones count less.
@@ -83,6 +117,28 @@
     pub acks: f64,
 }
 
+impl LineCounts {
+    /// The count of updates of tables for a reason.
+    pub(crate) fn of_mut(&mut self, reason: UpdateReason) -> &mut f64 {
+        match reason {
+            UpdateReason::Ordinary => &mut self.ordinary,
+            UpdateReason::Expedited => &mut self.expedited,
+            UpdateReason::Hazard => &mut self.hazards,
+            UpdateReason::Drain => &mut self.drains,
+        }
+    }
+
+    /// Adds other counts to these.
+    fn add(&mut self, other: &LineCounts) {
+        self.bindings += other.bindings;
+        self.drains += other.drains;
+        self.hazards += other.hazards;
+        self.expedited += other.expedited;
+        self.ordinary += other.ordinary;
+        self.acks += other.acks;
+    }
+}
+
 /// The queue of updates to the proxies. Figures are in lines unless said otherwise.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct UpdateQueueStatus {
@@ -113,6 +169,10 @@
     pub(crate) admission: &'a AdmissionController,
     pub(crate) proxies: &'a ProxyRegistry,
     pub(crate) queue: &'a UpdateQueue,
+    pub(crate) tables: &'a [TableState],
+    pub(crate) update_policy: &'a UpdatePolicy,
+    /// Attempts a second per unit of weight that should end in each table.
+    pub(crate) attempts_per_weight: Vec<f64>,
 }
 
 impl Sources<'_> {
@@ -134,6 +194,56 @@
             })
             .collect()
     }
+
+    fn message_cap(&self) -> MessageCapStatus {
+        let cap = &self.update_policy.message_cap;
+        let used_tables = self.tables.iter().filter(|table| table.is_used());
+        let used = used_tables.map(|table| table.messages_used(self.now, cap));
+        let mut status = MessageCapStatus {
+            max_messages: Some(cap.max_messages()).filter(|&messages| messages < usize::MAX),
+            max_used: used.max().unwrap_or(0),
+            ..MessageCapStatus::default()
+        };
+        for table in self.tables {
+            let holds = table.cap_holds();
+            status.held_back_for.add(&holds.held_back_for);
+            status.longest_safety_hold = status.longest_safety_hold.max(holds.longest_safety_hold);
+        }
+        status
+    }
+
+    /// Attempts a second that a host should get by the weights that were sent.
+    fn expected_attempts(&self, host: &Host) -> f64 {
+        let memberships = host.memberships.iter();
+        memberships
+            .map(|membership| {
+                membership.sent_weight() * self.attempts_per_weight[membership.table()]
+            })
+            .sum()
+    }
+
+    /// Ready hosts that have not warmed up.
+    fn warming_hosts(&self) -> Vec<WarmingHost> {
+        let is_ready = |host: &&Host| self.policy.is_ready(host, self.now);
+        let ready = || self.hosts.iter().filter(is_ready);
+        let capacity = |host: &Host| host.weight() * self.policy.warm_part(host, self.now);
+        let all_attempts: f64 = ready().map(|host| self.expected_attempts(host)).sum();
+        let all_capacity: f64 = ready().map(capacity).sum();
+        let mean_load = all_attempts / all_capacity.max(EPSILON);
+        ready()
+            .filter(|host| !self.policy.is_warm(host, self.now))
+            .map(|host| {
+                let requests_per_s = self.expected_attempts(host);
+                let load = requests_per_s / capacity(host).max(EPSILON);
+                WarmingHost {
+                    host: host.id().clone(),
+                    warm_part: self.policy.warm_part(host, self.now),
+                    requests_per_s,
+                    relative_load: load / mean_load.max(EPSILON),
+                }
+            })
+            .collect()
+    }
 }
 
 /// What is believed now: read from the decisions' state, and no part of any decision.
@@ -155,5 +265,7 @@
         demand: sources.proxies.demand(),
         throughput: sources.reports.throughput(sources.hosts.iter()),
         update_queue: sources.queue.status(),
+        message_cap: sources.message_cap(),
+        warming: sources.warming_hosts(),
     }
 }
--- a/crates/controller/src/tables.rs
+++ b/crates/controller/src/tables.rs
@@ -2,7 +2,9 @@
 
 use crate::config::{DeploymentConfig, RetryPolicy};
 use crate::ids::{RequestClassId, ZoneId};
+use crate::status::LineCounts;
 use crate::time::Time;
+use crate::update_queue::UpdateReason;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -119,9 +121,21 @@
     }
 }
 
+/// What the message cap has held back of one table's updates.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct CapHolds {
+    /// Updates that were due but for the cap, each time that they were looked at.
+    pub(crate) held_back_for: LineCounts,
+    /// The longest time for which one waited that a rule asks for.
+    pub(crate) longest_safety_hold: Duration,
+    /// Since when such a one waits; none: none does.
+    safety_held_since: Option<Time>,
+}
+
 /// What is known of the proxies of one table.
 #[derive(Clone, Default)]
 pub(crate) struct TableState {
+    cap_holds: CapHolds,
     bound_proxies: usize,
     messages_sent_at: VecDeque<Time>,
     pending_since: Option<Time>,
@@ -174,6 +188,26 @@
         1 + sent.filter(|&&at| now - at <= cap.window).count()
     }
 
+    /// What the message cap has held back of its updates.
+    pub(crate) fn cap_holds(&self) -> &CapHolds {
+        &self.cap_holds
+    }
+
+    /// The message cap holds back an update.
+    pub(crate) fn note_held_by_cap(&mut self, now: Time, reason: UpdateReason) {
+        let holds = &mut self.cap_holds;
+        *holds.held_back_for.of_mut(reason) += 1.0;
+        if reason >= UpdateReason::Hazard {
+            let since = *holds.safety_held_since.get_or_insert(now);
+            holds.longest_safety_hold = holds.longest_safety_hold.max(now - since);
+        }
+    }
+
+    /// Notes whether an update that a rule asks for is still due.
+    pub(crate) fn note_safety_due(&mut self, is_due: bool) {
+        self.cap_holds.safety_held_since.take_if(|_| !is_due);
+    }
+
     /// Since when it differs from what was sent; none: it does not.
     pub(crate) fn pending_since(&self) -> Option<Time> {
         self.pending_since
@@ -187,6 +221,7 @@
     /// Notes that its differences are sent.
     pub(crate) fn clear_pending(&mut self) {
         self.pending_since = None;
+        self.cap_holds.safety_held_since = None;
     }
 
     /// Classes whose admitted fraction is not the one that was sent.
--- a/crates/controller/src/time.rs
+++ b/crates/controller/src/time.rs
@@ -14,6 +14,12 @@
         Time(us)
     }
 
+    /// Microseconds since the clock's origin.
+    #[must_use]
+    pub const fn micros(self) -> u64 {
+        self.0
+    }
+
     /// Whether this is the clock's origin, which stands for a time that nobody stated.
     #[must_use]
     pub const fn is_unset(self) -> bool {
--- a/crates/controller/src/update_queue.rs
+++ b/crates/controller/src/update_queue.rs
@@ -221,7 +221,7 @@
         };
         let is_admitted = fits || self.takes_blind_update(now);
         if !is_admitted {
-            *count_of(&mut self.held_back_for, reason) += 1.0;
+            *self.held_back_for.of_mut(reason) += 1.0;
         }
         is_admitted
     }
@@ -256,7 +256,7 @@
     /// An update of `lines` lines goes to each of `messages` proxies.
     pub(crate) fn send_update(&mut self, reason: UpdateReason, lines: usize, messages: usize) {
         let lines = self.send(lines as f64, messages as f64);
-        *count_of(&mut self.sent_for, reason) += lines;
+        *self.sent_for.of_mut(reason) += lines;
     }
 
     /// A proxy is sent its whole table.
@@ -382,12 +382,3 @@
         }
     }
 }
-
-fn count_of(counts: &mut LineCounts, reason: UpdateReason) -> &mut f64 {
-    match reason {
-        UpdateReason::Ordinary => &mut counts.ordinary,
-        UpdateReason::Expedited => &mut counts.expedited,
-        UpdateReason::Hazard => &mut counts.hazards,
-        UpdateReason::Drain => &mut counts.drains,
-    }
-}
--- a/crates/platform-core/src/controller.rs
+++ b/crates/platform-core/src/controller.rs
@@ -4,7 +4,9 @@
 use crate::membership::Membership;
 use crate::updates::{MAX_BATCH_SIZE, UpdateCall};
 use pondarch_controller::HealthCheckResult;
-use pondarch_controller::{Controller, Decision, HostId, HostLoad, StatusSnapshot, Time, ZoneId};
+use pondarch_controller::{
+    Controller, Decision, HostId, HostLoad, HostTransition, StatusSnapshot, Time, ZoneId,
+};
 use pondarch_deployment::DeploymentNames;
 use pondarch_platform_protocol::config::PlatformConfig;
 use pondarch_platform_protocol::registry::RegistryList;
@@ -185,6 +187,11 @@
         self.controller.status()
     }
 
+    /// Takes the transitions of hosts since the last call, for logs.
+    pub fn take_host_transitions(&mut self) -> Vec<HostTransition> {
+        self.controller.take_host_transitions()
+    }
+
     /// How many proxies are connected.
     #[must_use]
     pub fn joined_proxies(&self) -> usize {
--- a/crates/platform/src/dispatch.rs
+++ b/crates/platform/src/dispatch.rs
@@ -2,6 +2,7 @@
 
 use crate::events::{ClientEvent, DisconnectReason, TaskEvent, UpstreamEvent};
 use crate::program::Program;
+use crate::status_log::log_transition;
 use crate::update_calls::Call;
 use pondarch_platform_core::{CallOutcome, Input, Output};
 use tracing::{info, warn};
@@ -15,6 +16,9 @@
                 Output::CheckHealth { host, address } => self.health_checks.start(host, address),
             }
         }
+        for transition in self.controller.take_host_transitions() {
+            self.log_limit.log(|| log_transition(&transition));
+        }
     }
 
     fn send_call(&mut self, call: Call) {
@@ -52,7 +56,17 @@
 
     fn on_upstream_event(&mut self, event: UpstreamEvent) {
         match event {
-            UpstreamEvent::EndpointList(list) => self.input(Input::EndpointList(list)),
+            UpstreamEvent::EndpointList(list) => {
+                self.log_limit.log(|| {
+                    info!(
+                        generation = list.generation,
+                        complete = list.complete,
+                        entries = list.entries.len(),
+                        "endpoint list applied"
+                    );
+                });
+                self.input(Input::EndpointList(list));
+            }
             UpstreamEvent::EndpointWatchFailed(error) => {
                 self.log_limit
                     .log(|| warn!(%error, "registry watch failed"));
--- a/crates/platform/src/status_log.rs
+++ b/crates/platform/src/status_log.rs
@@ -1,7 +1,10 @@
 //! The periodic log lines: the controller's status, the update queue, and the counters.
 
 use crate::clients::Clients;
-use pondarch_controller::{DurationExt, HostId, StatusSnapshot, UpdateQueueStatus};
+use pondarch_controller::{
+    DurationExt, HostId, HostTransition, MessageCapStatus, StatusSnapshot, UpdateQueueStatus,
+    WarmingHost,
+};
 use pondarch_platform_core::{Counters, PlatformController};
 use tracing::{info, warn};
 
@@ -20,6 +23,8 @@
         let status = controller.status();
         log_status(&status);
         self.log_update_queue(&status.update_queue);
+        log_message_cap(&status.message_cap);
+        log_warming_hosts(&status.warming);
         self.log_counters(controller, clients);
     }
 
@@ -82,6 +87,42 @@
     );
 }
 
+fn log_message_cap(cap: &MessageCapStatus) {
+    info!(
+        max_messages = cap.max_messages,
+        max_used = cap.max_used,
+        held_back_for = ?cap.held_back_for,
+        longest_safety_hold_ms = cap.longest_safety_hold.micros() / 1_000,
+        "message cap"
+    );
+}
+
+fn log_warming_hosts(warming: &[WarmingHost]) {
+    if warming.is_empty() {
+        return;
+    }
+    let text = |host: &WarmingHost| {
+        format!(
+            "{}:{:.2}part,{:.2}per_s,{:.2}load",
+            host.host.0, host.warm_part, host.requests_per_s, host.relative_load
+        )
+    };
+    let hosts: Vec<String> = warming.iter().map(text).collect();
+    info!(hosts = hosts.join(" "), "warming hosts");
+}
+
+/// Logs that a host has come into another phase.
+pub(crate) fn log_transition(transition: &HostTransition) {
+    info!(
+        host = &*transition.host.0,
+        from = ?transition.from,
+        to = ?transition.to,
+        restarted = transition.restarted,
+        started_ms = transition.started.micros() / 1_000,
+        "host phase changed"
+    );
+}
+
 fn names(hosts: &[HostId]) -> String {
     let names: Vec<&str> = hosts.iter().map(|host| &*host.0).collect();
     names.join(",")
