--- a/crates/cli/tests/platform/channel.rs
+++ b/crates/cli/tests/platform/channel.rs
@@ -1,7 +1,7 @@
 //! The channel to the proxies is slower than the settings state, or stands still: no more lines may wait in it than the
 //! settings allow, drains still go out, and once it is sound again all that was held back goes out too.
 
-use crate::channel_relay::{ChannelRelay, MESSAGE_OVERHEAD};
+use crate::channel_relay::{CallFault, ChannelRelay, MESSAGE_OVERHEAD};
 use crate::stage::*;
 use serde_json::{Value, json};
 use std::io::Write;
@@ -123,7 +123,8 @@
 fn strike(fault: Fault, steward: &Steward, relay: &ChannelRelay) {
     match fault {
         Fault::Rate(rate) => relay.set_rate(rate),
-        Fault::LoseAnswers(lost) => relay.lose_answers(lost),
+        Fault::LoseAnswers(true) => relay.set_fault(CallFault::AnswerLost),
+        Fault::LoseAnswers(false) => relay.set_fault(CallFault::None),
         Fault::BreakNews => relay.break_news(),
         Fault::Stop => steward.signal("-STOP"),
         Fault::Continue => steward.signal("-CONT"),
--- a/crates/cli/tests/platform/stage.rs
+++ b/crates/cli/tests/platform/stage.rs
@@ -27,6 +27,12 @@
         .try_for_each(|byte| stream.write_all(&[byte]).ok())
 }
 
+/// A line as one chunk of a chunked answer.
+pub(crate) fn chunked_line(stream: &mut TcpStream, text: &str) -> Option<()> {
+    let chunk = format!("{:x}\r\n{text}\n\r\n", text.len() + 1);
+    stream.write_all(chunk.as_bytes()).ok()
+}
+
 /// Serves each connection by `talk`, which says what it reads.
 pub(crate) fn party(
     talk: impl Fn(TcpStream, &Sender<String>) -> Option<()> + Clone + Send + 'static,
@@ -158,11 +164,7 @@
         .write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
         .ok()?;
     if let Some(watch) = watch {
-        let mut line = |text: &str| {
-            stream
-                .write_all(format!("{:x}\r\n{text}\n\r\n", text.len() + 1).as_bytes())
-                .ok()
-        };
+        let mut line = |text: &str| chunked_line(&mut stream, text);
         return watch(watches.fetch_add(1, Relaxed), &mut line);
     }
     for byte in format!("{list}\n").bytes() {
@@ -250,10 +252,32 @@
         }
     }
 
+    pub(crate) fn kill(&mut self) {
+        self.child.kill().expect("killed");
+        self.child.wait().expect("its end");
+    }
+
+    /// Starts it again, once it is gone, at the same address with another configuration.
+    pub(crate) fn restart(&mut self, config: &str) {
+        std::fs::write(&self.config, config).expect("written");
+        let log = std::fs::File::options()
+            .append(true)
+            .open(self.folder.path().join("log"));
+        self.child = platform(Some(&self.config))
+            .stderr(log.expect("its log"))
+            .spawn()
+            .expect("the program");
+    }
+
+    /// Has it read another configuration.
+    pub(crate) fn reconfigure(&self, config: &str) {
+        std::fs::write(&self.config, config).expect("written");
+        self.signal("-HUP");
+    }
+
     /// Tells it where discovery and relay are from now on.
     pub(crate) fn moves(&self, discovery: SocketAddr, relay: SocketAddr) {
-        std::fs::write(&self.config, config(self.listen, discovery, relay)).expect("written");
-        self.signal("-HUP");
+        self.reconfigure(&config(self.listen, discovery, relay));
     }
 
     pub(crate) fn log(&self) -> String {
