Spread messages over the cap's window, so that a burst leaves one for a restarted host

Callers saw: hosts that had just restarted were sent up to 2.99 times what they can do (2.5 may) and fell over. Cause: publishing.rs::is_due let updates go out while messages of the cap were left; a burst used them up, and hazards waited until it had left the window, up to 10 s. Change: a token bucket (message_budget.rs): two messages at once, one more each window / (cap - 3); updates that can wait leave one. Messages are counted once a batch, and none for a table without proxies. That works whatever brings the burst, since no update can take the next token of one that a rule asks for.

--- a/crates/controller/src/assignment.rs
+++ b/crates/controller/src/assignment.rs
@@ -3,7 +3,7 @@
 use crate::decision::Decision;
 use crate::ids::{ProxyId, TableId, ZoneId};
 use crate::proxy::Proxy;
-use crate::publishing::{DRAIN_MESSAGES, UpdateRound, UpdateScope};
+use crate::publishing::{URGENT_TOKENS, UpdateRound, UpdateScope};
 use crate::statistics::stable_hash;
 use crate::tables::TableLayout;
 use crate::update_queue::UpdateReason;
@@ -63,8 +63,9 @@
                 }
             }
         }
+        let message = self.message();
         for table in bound_again {
-            self.tables[table].count_message(self.now);
+            self.tables[table].count_message(message);
         }
     }
 
@@ -124,8 +125,7 @@
     fn may_bind_again(&self, table: usize, zone: ZoneId) -> bool {
         let mut tables = self.layout.tables_of(table, zone);
         tables.all(|table| {
-            let used = self.tables[table].messages_used(self.now, &self.policy.message_cap);
-            used + DRAIN_MESSAGES < self.policy.message_cap.max_messages()
+            self.tables[table].has_tokens(self.message(), &self.policy.message_cap, URGENT_TOKENS)
         })
     }
 
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -92,8 +92,8 @@
     expedite: bool,
     timer_fired: bool,
     timer_handled_at: Time,
-    /// When updates were decided last.
-    batch_at: Time,
+    /// The number of the last batch with updates.
+    last_batch: u64,
     decisions: VecDeque<Decision>,
     transitions: TransitionLog,
 }
@@ -127,7 +127,7 @@
             expedite: false,
             timer_fired: true,
             timer_handled_at: now,
-            batch_at: Time::default(),
+            last_batch: 0,
             decisions: VecDeque::new(),
             transitions: TransitionLog::default(),
         }
--- a/crates/controller/src/controller/decide.rs
+++ b/crates/controller/src/controller/decide.rs
@@ -162,6 +162,7 @@
     fn update_round(&mut self) -> UpdateRound<'_> {
         UpdateRound {
             now: self.now,
+            batch: self.last_batch + 1,
             policy: &self.update_policy,
             host_policy: &self.host_policy,
             layout: &self.layout,
@@ -180,7 +181,7 @@
         let decided = self.decisions.iter().skip(decisions_before);
         let updates = decided.filter(is_update).count();
         if updates > 0 {
-            self.batch_at = self.now;
+            self.last_batch += 1;
         }
         let ack = self.queue.end_batch(self.now, updates);
         self.decisions.extend(ack.map(Decision::RequestAck));
--- a/crates/controller/src/controller/inputs.rs
+++ b/crates/controller/src/controller/inputs.rs
@@ -191,7 +191,7 @@
             | Decision::BindProxy { table, .. }
             | Decision::SetAdmissionRate { table, .. } = update
             {
-                self.tables[table.0 as usize].uncount_messages(self.batch_at);
+                self.tables[table.0 as usize].uncount_message(self.last_batch);
             }
         }
     }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -17,6 +17,7 @@
 mod ids;
 mod load_reports;
 mod memberships;
+mod message_budget;
 mod outlier_detection;
 mod pending_acks;
 mod placement;
--- a/crates/controller/src/publishing.rs
+++ b/crates/controller/src/publishing.rs
@@ -6,10 +6,11 @@
 use crate::host_policy::HostPolicy;
 use crate::ids::{RequestClassId, TableId};
 use crate::memberships::TableMembership;
+use crate::message_budget::MessageCap;
 use crate::proxy::ProxyRegistry;
 use crate::shards::MIN_TABLE_HOSTS;
-use crate::tables::{MessageCap, TableLayout, TableState};
-use crate::time::{DurationExt, Time};
+use crate::tables::{SentMessage, TableLayout, TableState};
+use crate::time::Time;
 use crate::update_queue::{UpdateQueue, UpdateReason};
 use std::cmp::Reverse;
 use std::collections::VecDeque;
@@ -19,12 +20,10 @@
 pub(crate) const UPDATE_INTERVAL: Duration = Duration::from_millis(1_000);
 /// The same for expedited updates.
 pub(crate) const EXPEDITED_INTERVAL: Duration = Duration::from_millis(200);
-/// Part of the message cap that ordinary updates may use.
-const ORDINARY_CAP_PART: f64 = 0.75;
-/// Part of the message cap that expedited updates may use.
-const EXPEDITED_CAP_PART: f64 = 0.8;
-/// Messages of the cap that are for drains alone: they wait for the whole cap only.
-pub(crate) const DRAIN_MESSAGES: usize = 2;
+/// Messages that the cap must have room for before an update goes out: one that can wait leaves one for the next that a rule
+/// asks for.
+const DEFERRABLE_TOKENS: f64 = 2.0;
+pub(crate) const URGENT_TOKENS: f64 = 1.0;
 
 /// What the deployment states of updates.
 pub(crate) struct UpdatePolicy {
@@ -42,18 +41,14 @@
 impl UpdatePolicy {
     pub(crate) fn new(config: &DeploymentConfig) -> UpdatePolicy {
         let message_cap = MessageCap::new(config);
-        let ordinary_messages = message_cap.max_messages() as f64 * ORDINARY_CAP_PART;
-        let as_cap_allows = message_cap
-            .window()
-            .scaled(1.0 / ordinary_messages.max(1.0));
         let max_batch_size = match config.max_batch_size {
             0 => usize::MAX,
             max_batch_size => max_batch_size as usize,
         };
         UpdatePolicy {
+            gather_interval: UPDATE_INTERVAL.max(message_cap.refill_interval()),
             message_cap,
             prefers_own_zone: config.cross_zone_cost > 0.0,
-            gather_interval: UPDATE_INTERVAL.max(as_cap_allows),
             max_batch_size,
             admits_by_rate: config.admission == AdmissionMode::Rate,
         }
@@ -115,6 +110,8 @@
 /// One round of updates: what it reads, and what it changes.
 pub(crate) struct UpdateRound<'a> {
     pub(crate) now: Time,
+    /// The number of the batch that the updates go out in.
+    pub(crate) batch: u64,
     pub(crate) policy: &'a UpdatePolicy,
     pub(crate) host_policy: &'a HostPolicy,
     pub(crate) layout: &'a TableLayout,
@@ -128,6 +125,14 @@
 }
 
 impl UpdateRound<'_> {
+    /// The message that a table's proxies are sent now.
+    pub(crate) fn message(&self) -> SentMessage {
+        SentMessage {
+            sent_at: self.now,
+            batch: self.batch,
+        }
+    }
+
     /// Whether the batch can take no more.
     pub(crate) fn is_full(&self) -> bool {
         self.decisions.len() >= self.policy.max_batch_size
@@ -218,26 +223,19 @@
 
     /// Whether differences have gathered for long enough, and the message cap has room.
     fn due(&self, table: usize, reason: UpdateReason) -> Due {
-        let cap = &self.policy.message_cap;
         let table = &self.tables[table];
-        let used = table.messages_used(self.now, cap);
-        let is_under = |part: f64| (used as f64) < cap.max_messages() as f64 * part;
         let has_gathered = |interval: Duration| {
             let pending_since = table.pending_since();
             pending_since.is_some_and(|since| self.now - since >= interval)
         };
-        let (has_gathered, has_room) = match reason {
-            UpdateReason::Drain => (true, used < cap.max_messages()),
-            UpdateReason::Hazard => (true, used + DRAIN_MESSAGES < cap.max_messages()),
-            UpdateReason::Expedited => (
-                has_gathered(EXPEDITED_INTERVAL),
-                is_under(EXPEDITED_CAP_PART),
-            ),
-            UpdateReason::Ordinary => (
-                has_gathered(self.policy.gather_interval),
-                is_under(ORDINARY_CAP_PART),
-            ),
+        let (has_gathered, tokens) = match reason {
+            UpdateReason::Drain | UpdateReason::Hazard => (true, URGENT_TOKENS),
+            UpdateReason::Expedited => (has_gathered(EXPEDITED_INTERVAL), DEFERRABLE_TOKENS),
+            UpdateReason::Ordinary => {
+                (has_gathered(self.policy.gather_interval), DEFERRABLE_TOKENS)
+            }
         };
+        let has_room = table.has_tokens(self.message(), &self.policy.message_cap, tokens);
         match (has_gathered, has_room) {
             (false, _) => Due::Gathering,
             (true, false) => Due::HeldByCap,
@@ -279,6 +277,10 @@
         let lines = self.decisions.len() - decisions_before;
         let messages = self.tables[table].bound_proxies();
         self.queue.send_update(reason, lines, messages);
+        if messages == 0 {
+            return;
+        }
+        let message = self.message();
         // Where proxies hold two tables, a message on either counts for both.
         let counted = if self.layout.has_zone_tables() {
             &mut self.tables[..]
@@ -286,7 +288,7 @@
             &mut self.tables[table..=table]
         };
         for table in counted {
-            table.count_message(self.now);
+            table.count_message(message);
         }
     }
 
--- a/crates/controller/src/status.rs
+++ b/crates/controller/src/status.rs
@@ -200,7 +200,7 @@
         let used_tables = self.tables.iter().filter(|table| table.is_used());
         let used = used_tables.map(|table| table.messages_used(self.now, cap));
         let mut status = MessageCapStatus {
-            max_messages: Some(cap.max_messages()).filter(|&messages| messages < usize::MAX),
+            max_messages: cap.max_messages(),
             max_used: used.max().unwrap_or(0),
             ..MessageCapStatus::default()
         };
--- a/crates/controller/src/tables.rs
+++ b/crates/controller/src/tables.rs
@@ -2,6 +2,7 @@
 
 use crate::config::{DeploymentConfig, RetryPolicy};
 use crate::ids::{RequestClassId, ZoneId};
+use crate::message_budget::MessageCap;
 use crate::status::LineCounts;
 use crate::time::Time;
 use crate::update_queue::UpdateReason;
@@ -94,31 +95,12 @@
     }
 }
 
-/// The messages that a proxy may be sent.
-pub(crate) struct MessageCap {
-    max_messages: usize,
-    window: Duration,
-}
-
-impl MessageCap {
-    pub(crate) fn new(config: &DeploymentConfig) -> MessageCap {
-        let max_messages = match config.max_messages_per_window {
-            0 => usize::MAX,
-            max_messages => max_messages as usize,
-        };
-        MessageCap {
-            max_messages,
-            window: config.message_window,
-        }
-    }
-
-    pub(crate) fn max_messages(&self) -> usize {
-        self.max_messages
-    }
-
-    pub(crate) fn window(&self) -> Duration {
-        self.window
-    }
+/// A message to the proxies of a table.
+#[derive(Clone, Copy)]
+pub(crate) struct SentMessage {
+    pub(crate) sent_at: Time,
+    /// The batch that it belongs to: all that a batch has for a proxy is one message.
+    pub(crate) batch: u64,
 }
 
 /// What the message cap has held back of one table's updates.
@@ -137,7 +119,7 @@
 pub(crate) struct TableState {
     cap_holds: CapHolds,
     bound_proxies: usize,
-    messages_sent_at: VecDeque<Time>,
+    messages: VecDeque<SentMessage>,
     pending_since: Option<Time>,
     sent_fractions: Vec<Option<f64>>,
 }
@@ -163,29 +145,50 @@
         self.bound_proxies > 0
     }
 
-    /// A message is sent to its proxies.
-    pub(crate) fn count_message(&mut self, now: Time) {
-        self.messages_sent_at.push_back(now);
+    /// A message is sent to its proxies; all that is sent in one batch is one message.
+    pub(crate) fn count_message(&mut self, message: SentMessage) {
+        if !self.is_sent_message_in(message.batch) {
+            self.messages.push_back(message);
+        }
+    }
+
+    /// Whether its proxies are sent a message in this batch already.
+    fn is_sent_message_in(&self, batch: u64) -> bool {
+        let last = self.messages.back();
+        last.is_some_and(|message| message.batch == batch)
     }
 
-    /// Messages sent at this time were surely not applied.
-    pub(crate) fn uncount_messages(&mut self, sent_at: Time) {
-        self.messages_sent_at.retain(|&at| at != sent_at);
+    /// The message of this batch was surely not applied.
+    pub(crate) fn uncount_message(&mut self, batch: u64) {
+        self.messages.retain(|message| message.batch != batch);
     }
 
     /// Its proxies are all new: they have been sent nothing.
     pub(crate) fn clear_messages(&mut self) {
-        self.messages_sent_at.clear();
+        self.messages.clear();
     }
 
     pub(crate) fn drop_old_messages(&mut self, now: Time, cap: &MessageCap) {
-        self.messages_sent_at.retain(|&at| now - at <= cap.window);
+        self.messages
+            .retain(|message| now - message.sent_at <= cap.window());
+    }
+
+    fn recent_messages(&self, now: Time, cap: &MessageCap) -> impl Iterator<Item = Time> {
+        let window = cap.window();
+        let sent = self.messages.iter().map(|message| message.sent_at);
+        sent.filter(move |&at| now - at <= window)
     }
 
     /// Messages to one of its proxies that count against the cap, its binding among them.
     pub(crate) fn messages_used(&self, now: Time, cap: &MessageCap) -> usize {
-        let sent = self.messages_sent_at.iter();
-        1 + sent.filter(|&&at| now - at <= cap.window).count()
+        1 + self.recent_messages(now, cap).count()
+    }
+
+    /// Whether a message may be sent to its proxies in this batch, if the cap has room for so many.
+    pub(crate) fn has_tokens(&self, next: SentMessage, cap: &MessageCap, messages: f64) -> bool {
+        let now = next.sent_at;
+        self.is_sent_message_in(next.batch)
+            || cap.has_tokens(now, self.recent_messages(now, cap), messages)
     }
 
     /// What the message cap has held back of its updates.
--- a/crates/controller/tests/decisions/main.rs
+++ b/crates/controller/tests/decisions/main.rs
@@ -7,6 +7,7 @@
 mod common;
 mod endpoint_list;
 mod full_size;
+mod message_cap;
 mod outliers;
 mod placement;
 mod rule_checks;
--- /dev/null
+++ b/crates/controller/tests/decisions/message_cap.rs
@@ -0,0 +1,70 @@
+//! How the messages that a proxy may be sent in a window are spent.
+
+use crate::common::{SimulatedFleet, all_healthy, deployment, endpoint, fleet_with, host};
+use pondarch_controller::{EndpointState, TableId};
+
+/// Less than the shortest grace period, less the longest way of a message.
+const URGENT_MS: u64 = 1_500;
+
+fn restart(fleet: &mut SimulatedFleet, n: usize) {
+    fleet.list(false, vec![endpoint(n, EndpointState::Ready, fleet.time())]);
+}
+
+/// The part of its listed weight that a host has in the table of all proxies.
+fn weight_part(fleet: &SimulatedFleet, n: usize) -> f64 {
+    let listed = endpoint(n, EndpointState::Ready, fleet.time()).weight;
+    let weight = fleet.lines.get(&(TableId(0), host(n)));
+    weight.copied().unwrap_or(0.0) / listed
+}
+
+#[test]
+fn restarts_one_after_another_do_not_use_up_the_cap() {
+    let mut fleet = fleet_with(deployment(8));
+    fleet.run(12_000, all_healthy);
+    for n in 0..10 {
+        restart(&mut fleet, n);
+        fleet.run(150, all_healthy);
+    }
+    fleet.run(URGENT_MS, all_healthy);
+    for n in 0..10 {
+        let part = weight_part(&fleet, n);
+        assert!(part < 0.5, "host {n} has {part} of its weight");
+    }
+}
+
+/// Load that shifts from report to report makes updates that can wait, as many as may be sent.
+#[test]
+fn shifting_load_leaves_messages_for_a_restart() {
+    let mut fleet = fleet_with(deployment(8));
+    let mut round = 0;
+    fleet.run(12_000, |fleet| {
+        round += 1;
+        let mean = |n: usize| if (n + round) % 3 == 0 { 1_500 } else { 100 };
+        (0..12).for_each(|n| fleet.report_outcomes(n, 8.0, 0.0, mean(n)));
+    });
+    for n in 0..6 {
+        let before = fleet.now;
+        restart(&mut fleet, n);
+        while weight_part(&fleet, n) >= 0.5 {
+            fleet.run(50, all_healthy);
+            let waited_ms = (fleet.now - before) / 1_000;
+            assert!(waited_ms <= URGENT_MS, "host {n} waits for {waited_ms} ms");
+        }
+    }
+}
+
+#[test]
+fn a_drain_waits_for_no_burst_of_restarts() {
+    let mut fleet = fleet_with(deployment(8));
+    fleet.run(12_000, all_healthy);
+    for n in 0..6 {
+        restart(&mut fleet, n);
+        fleet.run(100, all_healthy);
+    }
+    fleet.list(
+        false,
+        vec![endpoint(8, EndpointState::Draining, fleet.time())],
+    );
+    fleet.run(URGENT_MS, all_healthy);
+    assert!(fleet.is_unused(8), "a drained host is still used");
+}
