Send a table's unsafe lines before a proxy is bound to it

Cause: assignment.rs::bind_proxies bound proxies to tables whose update for a restarted or drained host was held back by the message cap: the binding carries the old line, and is a message that knows of the start. Between two timers it also spent the message that the update waited for. Change: what a rule wants changed goes out before the binding, in the same batch and by the same token, or the binding waits. No line that breaks a rule can reach one more proxy, whatever held it back.

--- a/crates/controller/src/assignment.rs
+++ b/crates/controller/src/assignment.rs
@@ -1,6 +1,7 @@
 //! Assignment: which proxy uses which table. Bindings are sticky: a proxy that comes back finds its table again.
 
 use crate::decision::Decision;
+use crate::host::Host;
 use crate::ids::{ProxyId, TableId, ZoneId};
 use crate::proxy::Proxy;
 use crate::publishing::{URGENT_TOKENS, UpdateRound, UpdateScope};
@@ -50,6 +51,10 @@
             }
             let table = bound_to.unwrap_or_else(|| self.choose_table(id, proxy));
             self.refresh_unused_tables(table, zone);
+            let mut tables = self.layout.tables_of(table, zone);
+            if !tables.all(|table| self.send_unsafe_lines(table)) {
+                continue;
+            }
             if !self.send_binding(id, table, zone) {
                 break;
             }
@@ -124,9 +129,41 @@
     /// that broke often took all messages that there were.
     fn may_bind_again(&self, table: usize, zone: ZoneId) -> bool {
         let mut tables = self.layout.tables_of(table, zone);
-        tables.all(|table| {
-            self.tables[table].has_tokens(self.message(), &self.policy.message_cap, URGENT_TOKENS)
-        })
+        tables.all(|table| self.has_token(table))
+    }
+
+    /// A binding brings a proxy all lines of its table as they were sent: those that a rule wants changed go out first. Gives
+    /// whether none is left; else the binding waits for the message cap or the queue.
+    fn send_unsafe_lines(&mut self, table: usize) -> bool {
+        let Some(reason) = self.unsafe_lines_reason(table) else {
+            return true;
+        };
+        let scope = if self.queue.is_half_full() {
+            UpdateScope::UnsafeAndAddedLines
+        } else {
+            UpdateScope::All
+        };
+        let lines = self.lines_due(table, scope);
+        let messages = self.tables[table].bound_proxies();
+        let is_admitted =
+            self.has_token(table) && self.queue.admits_update(self.now, reason, lines, messages);
+        if is_admitted {
+            self.send_update(table, reason, scope);
+        }
+        is_admitted
+    }
+
+    /// Why lines of a table must not reach one more proxy as they are; none: they may.
+    fn unsafe_lines_reason(&self, table: usize) -> Option<UpdateReason> {
+        let memberships = |host: &'_ Host| -> Option<UpdateReason> {
+            let membership = host.memberships.get(table)?;
+            self.rule_breaking_reason(host, membership)
+        };
+        self.hosts.iter().filter_map(memberships).max()
+    }
+
+    fn has_token(&self, table: usize) -> bool {
+        self.tables[table].has_tokens(self.message(), &self.policy.message_cap, URGENT_TOKENS)
     }
 
     /// What nobody held may be old.
--- a/crates/controller/src/memberships.rs
+++ b/crates/controller/src/memberships.rs
@@ -95,6 +95,11 @@
             .any(|membership| membership.table == table && membership.sent_weight > 0.0)
     }
 
+    /// The membership in a table; none: the host is not in it.
+    pub(crate) fn get(&self, table: usize) -> Option<&TableMembership> {
+        self.0.iter().find(|membership| membership.table == table)
+    }
+
     /// The membership in a table, new if there is none.
     pub(crate) fn entry(&mut self, table: usize) -> &mut TableMembership {
         let known = self
--- a/crates/controller/src/publishing.rs
+++ b/crates/controller/src/publishing.rs
@@ -202,17 +202,34 @@
         needs
     }
 
+    /// Why a line that proxies may hold breaks a rule if it stays: its host drains or was removed, or is a cold one whose
+    /// line is still the warm one's.
+    pub(crate) fn rule_breaking_reason(
+        &self,
+        host: &Host,
+        membership: &TableMembership,
+    ) -> Option<UpdateReason> {
+        let is_heavy = membership.is_far_too_heavy() || membership.is_unconfirmed();
+        if membership.may_be_held() && !self.host_policy.is_ready(host, self.now) {
+            Some(UpdateReason::Drain)
+        } else if !self.host_policy.is_warm(host, self.now) && is_heavy {
+            Some(UpdateReason::Hazard)
+        } else {
+            None
+        }
+    }
+
     /// Why a line should be sent.
     fn update_reason(&self, host: &Host, membership: &TableMembership) -> Option<UpdateReason> {
         let is_held = membership.may_be_held();
         let is_heavy = membership.is_far_too_heavy();
         let is_unconfirmed = membership.is_unconfirmed();
-        let is_warming = !self.host_policy.is_warm(host, self.now);
         let is_usable = self.host_policy.is_usable(host, self.now);
-        if is_held && !self.host_policy.is_ready(host, self.now) {
-            Some(UpdateReason::Drain)
-        } else if is_held && !is_usable || is_warming && (is_heavy || is_unconfirmed) {
-            // Not to be put off: a failing host, or a cold one whose line is still the warm one's.
+        let rule_breaking = self.rule_breaking_reason(host, membership);
+        if rule_breaking.is_some() {
+            rule_breaking
+        } else if is_held && !is_usable {
+            // Not to be put off: a failing host.
             Some(UpdateReason::Hazard)
         } else if membership.target_weight() > 0.0 && is_heavy || is_unconfirmed {
             Some(UpdateReason::Expedited)
@@ -255,7 +272,7 @@
     }
 
     /// How many lines an update of a table has for each proxy that uses it.
-    fn lines_due(&self, table: usize, scope: UpdateScope) -> usize {
+    pub(crate) fn lines_due(&self, table: usize, scope: UpdateScope) -> usize {
         let memberships = self.hosts.iter().flat_map(|host| host.memberships.iter());
         let hosts = memberships
             .filter(|membership| membership.table() == table && scope.includes(membership))
