Keep the latest start of a host, and none in the future

Cause: host.rs::update took whatever start time was listed last: a registry that is behind the one before (a move, a list known at the start) made a cold host a warm one, and a machine whose clock is ahead kept its host at a fifth of its weight until that time. Evidence: both new tests of slow_start.rs fail without the change. Change: a start is never undone by an earlier one, and one in the future counts from when it was listed.

--- a/crates/controller/src/host.rs
+++ b/crates/controller/src/host.rs
@@ -23,6 +23,8 @@
     machine_type: MachineTypeId,
     weight: f64,
     started: Time,
+    /// Its start time as it was last listed.
+    listed_start: Time,
     state: EndpointState,
     drain_listed: bool,
     pub(crate) stats: AttemptStats,
@@ -45,6 +47,7 @@
             machine_type: MachineTypeId::default(),
             weight: 0.0,
             started: Time::default(),
+            listed_start: Time::default(),
             state: EndpointState::Removed,
             drain_listed: false,
             stats: AttemptStats::default(),
@@ -97,12 +100,14 @@
     /// Takes over an entry of the endpoint list.
     fn update(&mut self, now: Time, endpoint: &Endpoint) {
         // A new start time is a cold start, even of a host that was never announced as out.
-        if endpoint.started != self.started || self.state == EndpointState::Removed {
+        if endpoint.started > self.listed_start || self.state == EndpointState::Removed {
             self.restart(now);
         }
         self.zone = endpoint.zone;
         self.machine_type = endpoint.machine_type;
-        self.started = endpoint.started;
+        // Another registry may be behind, and a machine's clock ahead: no start is undone, and none lies in the future.
+        self.started = self.started.max(endpoint.started.min(now));
+        self.listed_start = self.listed_start.max(endpoint.started);
         let is_stated = endpoint.weight.is_finite() && endpoint.weight > 0.0;
         self.weight = if is_stated { endpoint.weight } else { 1.0 };
         self.state = endpoint.state;
--- a/crates/controller/tests/decisions/slow_start.rs
+++ b/crates/controller/tests/decisions/slow_start.rs
@@ -1,7 +1,7 @@
 //! Hosts that have started lately.
 
-use crate::common::{all_healthy, deployment, endpoint, fleet_with, host};
-use pondarch_controller::{EndpointState, TableId};
+use crate::common::{SECOND, all_healthy, deployment, endpoint, fleet_with, host};
+use pondarch_controller::{EndpointState, TableId, Time};
 
 #[test]
 fn unannounced_restart_begins_a_slow_start() {
@@ -34,3 +34,34 @@
     fleet.run(12_000, all_healthy);
     assert!(fleet.hosts_of(TableId(0)).contains(&host(2)));
 }
+
+/// As of a registry that is behind the one before.
+#[test]
+fn a_complete_list_with_an_earlier_start_ends_no_slow_start() {
+    let mut fleet = fleet_with(deployment(8));
+    fleet.run(4_000, all_healthy);
+    let before = fleet.lines[&(TableId(0), host(2))];
+    fleet.list(false, vec![endpoint(2, EndpointState::Ready, fleet.time())]);
+    fleet.list(
+        true,
+        (0..12)
+            .map(|n| endpoint(n, EndpointState::Ready, Time::from_micros(SECOND)))
+            .collect(),
+    );
+    fleet.run(2_000, all_healthy);
+    let weight = fleet.lines[&(TableId(0), host(2))];
+    assert!(weight < before * 0.5, "the cold host has {weight}");
+}
+
+/// As of a machine whose clock is ahead.
+#[test]
+fn a_start_in_the_future_counts_from_now_on() {
+    let mut fleet = fleet_with(deployment(8));
+    fleet.run(4_000, all_healthy);
+    let before = fleet.lines[&(TableId(0), host(2))];
+    let ahead = Time::from_micros(fleet.now + 3_600 * SECOND);
+    fleet.list(false, vec![endpoint(2, EndpointState::Ready, ahead)]);
+    assert!(fleet.lines[&(TableId(0), host(2))] < before * 0.3);
+    fleet.run(30_000, all_healthy);
+    assert!(fleet.lines[&(TableId(0), host(2))] > before * 0.9);
+}
