--- a/crates/controller/src/admission_control.rs
+++ b/crates/controller/src/admission_control.rs
@@ -6,7 +6,7 @@
 use crate::host_policy::HostPolicy;
 use crate::load_reports::LoadReports;
 use crate::proxy::{Proxy, ProxyRegistry};
-use crate::statistics::{median, moving_average};
+use crate::statistics::{EPSILON, median, moving_average};
 use crate::time::{DurationExt, Time};
 use std::time::Duration;
 
@@ -34,8 +34,6 @@
 const MIN_TOP_FRACTION: f64 = 0.5;
 /// Step in which admitted fractions are sent.
 const FRACTION_STEP: f64 = 0.05;
-/// Stands in for a weight or a rate of zero as a divisor.
-const EPSILON: f64 = 1e-9;
 
 /// What is known of the fleet when admission is set.
 pub(crate) struct AdmissionView<'a> {
--- a/crates/controller/src/assignment.rs
+++ b/crates/controller/src/assignment.rs
@@ -5,7 +5,7 @@
 use crate::ids::{ProxyId, TableId, ZoneId};
 use crate::proxy::Proxy;
 use crate::publishing::{URGENT_TOKENS, UpdateRound, UpdateScope};
-use crate::statistics::stable_hash;
+use crate::statistics::{EPSILON, stable_hash};
 use crate::tables::TableLayout;
 use crate::update_queue::UpdateReason;
 use std::collections::BTreeSet;
@@ -15,8 +15,6 @@
 /// Usage per weight, in parts of the mean, that a table in the proxy's zone may have more: crossing zones costs a little, an
 /// overload a lot.
 const ZONE_PREFERENCE: f64 = 0.5;
-/// Stands in for a weight of zero as a divisor.
-const EPSILON: f64 = 1e-9;
 
 /// Requests a second of the proxies of each shared table.
 pub(crate) fn usage_by_table<'a>(
--- a/crates/controller/src/controller/decide.rs
+++ b/crates/controller/src/controller/decide.rs
@@ -8,6 +8,7 @@
 use crate::outlier_detection::FleetView;
 use crate::placement::PlacementView;
 use crate::publishing::{Published, UpdateRound};
+use crate::statistics::EPSILON;
 use crate::time::{DurationExt, Time};
 use crate::weight_reduction::reduce_loaded_hosts;
 use std::time::Duration;
@@ -18,8 +19,6 @@
 /// poll, check and retry in step.
 const MIN_TIMER_PART: f64 = 0.9;
 const TIMER_PART_RANGE: f64 = 0.2;
-/// Stands in for a weight of zero as a divisor.
-const EPSILON: f64 = 1e-9;
 
 /// What the proxies send, for one round of decisions.
 pub(super) struct Traffic {
--- a/crates/controller/src/placement.rs
+++ b/crates/controller/src/placement.rs
@@ -10,6 +10,7 @@
     MAX_SHARED_HOSTS, MAX_TABLES_PER_HOST, MIN_TABLE_HOSTS, Shard, ShardAssignment, ShardDraw,
     table_preference,
 };
+use crate::statistics::EPSILON;
 use crate::tables::TableLayout;
 use crate::time::Time;
 
@@ -24,8 +25,6 @@
 const MIN_SUCCESS_RATIO: f64 = 0.85;
 /// A warming host waits only where this part of the table is warm: a few warm hosts alone would be overloaded for sure.
 const MIN_WARM_PART: f64 = 0.5;
-/// Stands in for a weight or a rate of zero as a divisor.
-const EPSILON: f64 = 1e-9;
 /// Weights are stated in steps of one over this.
 const WEIGHT_STEPS: f64 = 1e3;
 
--- a/crates/controller/src/shards.rs
+++ b/crates/controller/src/shards.rs
@@ -2,7 +2,7 @@
 
 use crate::host::{Host, HostRegistry};
 use crate::ids::ZoneId;
-use crate::statistics::stable_hash;
+use crate::statistics::{EPSILON, stable_hash};
 
 /// Hosts that a table needs (docs/design.md, What was kept).
 pub(crate) const MIN_TABLE_HOSTS: usize = 4;
@@ -20,8 +20,6 @@
 const BALANCING_ROUNDS: usize = 12;
 /// Least part of its weight that a host keeps in each of its tables, which keeps connections warm.
 const MIN_SHARED_PART: f64 = 0.05;
-/// Least weight of a table as a divisor.
-const EPSILON: f64 = 1e-9;
 
 /// A host of a table, by its place in the registry.
 #[derive(Clone, Copy)]
--- a/crates/controller/src/statistics.rs
+++ b/crates/controller/src/statistics.rs
@@ -1,5 +1,8 @@
 //! Small statistics that several decisions use.
 
+/// Stands in for a weight, a rate or a load of zero as a divisor.
+pub(crate) const EPSILON: f64 = 1e-9;
+
 /// Moves `mean` towards `sample` by `weight`; without a mean yet, the sample is the mean.
 pub(crate) fn moving_average(mean: f64, sample: f64, weight: f64) -> f64 {
     if mean > 0.0 {
--- a/crates/controller/src/status.rs
+++ b/crates/controller/src/status.rs
@@ -8,7 +8,7 @@
 use crate::placement::MIN_WARM_ENOUGH_PART;
 use crate::proxy::ProxyRegistry;
 use crate::publishing::UpdatePolicy;
-use crate::statistics::median;
+use crate::statistics::{EPSILON, median};
 use crate::tables::TableState;
 use crate::time::Time;
 use crate::update_queue::{UpdateQueue, UpdateReason};
@@ -16,8 +16,6 @@
 
 /// Failed attempts from which a host is named.
 const NAMED_FROM_FAILURES: f64 = 0.3;
-/// Stands in for a load or a capacity of zero as a divisor.
-const EPSILON: f64 = 1e-9;
 
 /// What a controller believes at one moment.
 #[derive(Clone, Debug, Default, PartialEq)]
