Unsafe lines before a binding are as pressing as the binding itself

Cause: assignment.rs::send_unsafe_lines asked the queue for room as a hazard, where the binding asks as a drain. Evidence: the new test of message_cap.rs fails with the hazard's reason (a proxy that joins on a stopped channel is bound to no table). Change: it asks as a drain does.

--- a/crates/controller/src/assignment.rs
+++ b/crates/controller/src/assignment.rs
@@ -143,8 +143,10 @@
         };
         let lines = self.lines_due(table, scope);
         let messages = self.tables[table].bound_proxies();
+        // As pressing as the binding that waits for it.
+        let urgency = UpdateReason::Drain;
         let is_admitted =
-            self.has_token(table) && self.queue.admits_update(self.now, reason, lines, messages);
+            self.has_token(table) && self.queue.admits_update(self.now, urgency, lines, messages);
         if is_admitted {
             self.send_update(table, reason, scope);
         }
--- a/crates/controller/tests/decisions/message_cap.rs
+++ b/crates/controller/tests/decisions/message_cap.rs
@@ -1,7 +1,7 @@
 //! How the messages that a proxy may be sent in a window are spent.
 
-use crate::common::{SimulatedFleet, all_healthy, deployment, endpoint, fleet_with, host};
-use pondarch_controller::{EndpointState, ProxyId, TableId};
+use crate::common::{SimulatedFleet, all_healthy, deployment, endpoint, fleet_with, host, ms};
+use pondarch_controller::{DeploymentConfig, EndpointState, ProxyId, TableId};
 
 /// Less than the shortest grace period, less the longest way of a message.
 const URGENT_MS: u64 = 1_500;
@@ -122,3 +122,22 @@
         assert_binds_no_heavy_line(&fleet, 3, held_back);
     }
 }
+
+/// Hazards wait while updates are late; a binding that needs one out first does not.
+#[test]
+fn a_proxy_that_joins_on_a_stopped_channel_is_bound_though_a_host_has_restarted() {
+    let mut fleet = fleet_with(DeploymentConfig {
+        drain_grace_period: ms(2_000),
+        ..deployment(8)
+    });
+    fleet.run(12_000, all_healthy);
+    fleet.slow_channel_to(0.0);
+    restart(&mut fleet, 0);
+    fleet.run(4_500, all_healthy);
+    restart(&mut fleet, 3);
+    assert!(weight_part(&fleet, 3) >= 0.5, "the hazard waits");
+    fleet.leave(7);
+    fleet.join(7, false, 6.0);
+    assert!(!fleet.proxies[&ProxyId(7)].tables.is_empty());
+    assert_binds_no_heavy_line(&fleet, 7, 3);
+}
