--- a/crates/cli/tests/platform/warming_soak.rs
+++ b/crates/cli/tests/platform/warming_soak.rs
@@ -12,7 +12,7 @@
 
 const CI_SEEDS: u64 = 8;
 /// Runs at a time.
-const LANES: u64 = 8;
+const LANES: usize = 8;
 /// When faults begin and end, in seconds after the start, and when the run ends.
 const FAULTS_FROM: f64 = 4.0;
 const FAULTS_UNTIL: f64 = 16.0;
@@ -252,13 +252,10 @@
     value.map_or(default, |value| value.parse().expect("a number"))
 }
 
-/// Plays so many seeds from the first one on; none may break a rule.
-fn assert_kept(first: u64, seeds: u64) {
+/// Plays these seeds; none may break a rule.
+fn assert_kept(seeds: &[u64]) {
     let mut broken = Vec::new();
-    for lane in (first..first + seeds)
-        .collect::<Vec<_>>()
-        .chunks(LANES as usize)
-    {
+    for lane in seeds.chunks(LANES) {
         let runs: Vec<_> = lane
             .iter()
             .map(|&seed| thread::spawn(move || Soak::new(seed).play(seed)))
@@ -287,11 +284,11 @@
 fn no_warming_host_is_overloaded_under_seeded_faults() {
     let first = from_environment("SOAK_FIRST_SEED", 1);
     let seeds = from_environment("SOAK_SEEDS", CI_SEEDS);
-    assert_kept(first, seeds);
+    assert_kept(&(first..first + seeds).collect::<Vec<_>>());
 }
 
-/// Seed 26: four restarts come as four changes within a tenth of a millisecond, when the cap has room for one message.
+/// Two to four restarts come as changes of their own within a tenth of a millisecond, when the cap has room for one message.
 #[test]
 fn no_host_is_overloaded_whose_restart_is_listed_while_an_update_for_another_goes_out() {
-    assert_kept(26, 1);
+    assert_kept(&[16, 26]);
 }
