Platform tests: the controller's process in a file of its own, controller for steward

Change: controller_process.rs holds the process, stage.rs the scripted peers; Steward is ControllerProcess, a test of channel.rs is renamed (a_controller_that_stood_still_...). No assertion changes.

--- a/crates/cli/tests/platform/channel.rs
+++ b/crates/cli/tests/platform/channel.rs
@@ -2,6 +2,7 @@
 //! settings allow, drains still go out, and once it is sound again all that was held back goes out too.
 
 use crate::channel_relay::{CallFault, ChannelRelay, MESSAGE_OVERHEAD};
+use crate::controller_process::*;
 use crate::stage::*;
 use serde_json::{Value, json};
 use std::io::Write;
@@ -65,8 +66,8 @@
 /// Tells of tries at all hosts that proxies hold, and of the proxies' requests, twice a second. A fifth of the hosts fails
 /// all its tries and an eighth of the proxies has most of the requests, others every two seconds, so that weights have to
 /// change all the time.
-fn collect_until(over: &AtomicBool, steward: &Steward, relay: &ChannelRelay) {
-    let mut stream = steward.dial();
+fn collect_until(over: &AtomicBool, controller: &ControllerProcess, relay: &ChannelRelay) {
+    let mut stream = controller.dial();
     stream
         .write_all(&message("collector site a"))
         .expect("written");
@@ -100,7 +101,7 @@
     }
 }
 
-/// What a steward made of a channel whose rate changed.
+/// What a controller made of a channel whose rate changed.
 struct Outcome {
     most_waiting: f64,
     /// Tables that hold the drained host, 1.5 s after its drain was listed.
@@ -115,19 +116,19 @@
     Rate(f64),
     LoseAnswers(bool),
     BreakNews,
-    /// The steward stands still (SIGSTOP), or goes on (SIGCONT).
+    /// The controller stands still (SIGSTOP), or goes on (SIGCONT).
     Stop,
     Continue,
 }
 
-fn strike(fault: Fault, steward: &Steward, relay: &ChannelRelay) {
+fn strike(fault: Fault, controller: &ControllerProcess, relay: &ChannelRelay) {
     match fault {
         Fault::Rate(rate) => relay.set_rate(rate),
         Fault::LoseAnswers(true) => relay.set_fault(CallFault::AnswerLost),
         Fault::LoseAnswers(false) => relay.set_fault(CallFault::None),
         Fault::BreakNews => relay.break_news(),
-        Fault::Stop => steward.signal("-STOP"),
-        Fault::Continue => steward.signal("-CONT"),
+        Fault::Stop => controller.signal("-STOP"),
+        Fault::Continue => controller.signal("-CONT"),
     }
 }
 
@@ -135,14 +136,15 @@
     let relay = ChannelRelay::start(STATED_RATE, PROXIES);
     let begun = Instant::now();
     let (discovery, _asked) = discovery_with_a_drain(begun);
-    let steward = Steward::start_configured(|listen| config(listen, discovery, relay.at));
+    let controller =
+        ControllerProcess::start_configured(|listen| config(listen, discovery, relay.at));
     let wait_until = |at: Duration| thread::sleep(at.saturating_sub(begun.elapsed()));
     let over = AtomicBool::new(false);
     thread::scope(|scope| {
-        scope.spawn(|| collect_until(&over, &steward, &relay));
+        scope.spawn(|| collect_until(&over, &controller, &relay));
         for (at, fault) in faults {
             wait_until(Duration::from_secs(*at));
-            strike(*fault, &steward, &relay);
+            strike(*fault, &controller, &relay);
         }
         wait_until(DRAIN_AFTER + Duration::from_millis(1_500));
         let tables_with_drained = relay.tables_with(&format!("s-1-{DRAINED}"));
@@ -154,7 +156,7 @@
             most_waiting: relay.most_waiting(),
             tables_with_drained,
             idle_for,
-            log: steward.log(),
+            log: controller.log(),
         }
     })
 }
@@ -220,9 +222,9 @@
     ]));
 }
 
-/// The steward stands still while its channel does; reports and answers of that time come all at once.
+/// The controller stands still while its channel does; reports and answers of that time come all at once.
 #[test]
-fn a_steward_that_stood_still_keeps_the_queue_of_a_slow_channel_short() {
+fn a_controller_that_stood_still_keeps_the_queue_of_a_slow_channel_short() {
     assert_kept(&play(&[
         (3, Fault::Rate(STATED_RATE / 8.0)),
         (5, Fault::Stop),
--- a/crates/cli/tests/platform/clients.rs
+++ b/crates/cli/tests/platform/clients.rs
@@ -1,5 +1,6 @@
-//! Who connects to the steward's address: cut off, slow, too many, too fast, deaf.
+//! Who connects to the controller's address: cut off, slow, too many, too fast, deaf.
 
+use crate::controller_process::*;
 use crate::party::Served;
 use crate::stage::*;
 use socket2::SockRef;
@@ -14,9 +15,9 @@
 const PONG: &[u8] = b"*1\r\n$4\r\npong\r\n";
 
 /// How long a sign of life takes, asked for on a connection of its own.
-fn pong(steward: &Steward) -> Duration {
+fn pong(controller: &ControllerProcess) -> Duration {
     let begun = Instant::now();
-    let mut stream = steward.dial();
+    let mut stream = controller.dial();
     stream.write_all(&message("ping")).expect("written");
     let mut said = [0; 14];
     stream.read_exact(&mut said).expect("an answer");
@@ -38,29 +39,29 @@
     }
 }
 
-/// Connections that are reset as soon as they are taken, with and without part of a message, while the steward is held
+/// Connections that are reset as soon as they are taken, with and without part of a message, while the controller is held
 /// still, so that it finds them all dead; then one that is no such.
 #[test]
 fn connections_killed_right_after_accept_leave_nothing() {
     let site = Served::with(4);
-    let before = site.steward.descriptors();
+    let before = site.controller.descriptors();
     for _ in 0..3 {
-        site.steward.signal("-STOP");
+        site.controller.signal("-STOP");
         for n in 0..200 {
-            let mut stream = site.steward.dial();
+            let mut stream = site.controller.dial();
             stream
                 .write_all(&message("collector site a")[..n % 20])
                 .expect("written");
             reset(stream);
         }
-        site.steward.signal("-CONT");
-        assert!(pong(&site.steward) < Duration::from_secs(1));
+        site.controller.signal("-CONT");
+        assert!(pong(&site.controller) < Duration::from_secs(1));
     }
     // The last of them may still be on their way out.
     thread::sleep(Duration::from_millis(200));
-    let after = site.steward.descriptors();
+    let after = site.controller.descriptors();
     assert!(after <= before + 2, "{after} descriptors, {before} before");
-    site.steward.ends();
+    site.controller.ends();
 }
 
 /// A collector whose bytes come one at a time names itself after 1.5 s: it was refused, each time it came. Half a
@@ -68,7 +69,7 @@
 #[test]
 fn a_slow_collector_is_let_in() {
     let site = Served::with(4);
-    let mut collector = site.steward.dial();
+    let mut collector = site.controller.dial();
     let bytes = message("collector site a").len() as u32;
     slowly(
         &mut collector,
@@ -80,9 +81,9 @@
         "usage id 3 lane proof count 4 fail 0 over 1000",
         Duration::from_millis(5),
     );
-    site.steward.logs("collector joined zone=", 1);
+    site.controller.logs("collector joined zone=", 1);
     let begun = Instant::now();
-    let mut half = site.steward.dial();
+    let mut half = site.controller.dial();
     half.write_all(&message("collector site a")[..20])
         .expect("written");
     let answer = said(half);
@@ -95,7 +96,7 @@
         "{:?}",
         begun.elapsed()
     );
-    let log = site.steward.ends();
+    let log = site.controller.ends();
     assert!(
         log.lines()
             .rfind(|line| line.contains("counters"))
@@ -108,22 +109,22 @@
 #[test]
 fn a_collector_returns_among_a_thousand_strangers() {
     let site = Served::with(4);
-    let strangers: Vec<TcpStream> = (0..1_000).map(|_| site.steward.dial()).collect();
+    let strangers: Vec<TcpStream> = (0..1_000).map(|_| site.controller.dial()).collect();
     let begun = Instant::now();
-    let mut collector = site.steward.dial();
+    let mut collector = site.controller.dial();
     collector
         .write_all(&message("collector site a"))
         .expect("written");
-    site.steward.logs("collector joined zone=", 1);
+    site.controller.logs("collector joined zone=", 1);
     assert!(
         begun.elapsed() < Duration::from_secs(4),
         "{:?}",
         begun.elapsed()
     );
-    assert!(site.steward.descriptors() <= 128);
+    assert!(site.controller.descriptors() <= 128);
     drop(strangers);
-    assert!(pong(&site.steward) < Duration::from_secs(2));
-    site.steward.ends();
+    assert!(pong(&site.controller) < Duration::from_secs(2));
+    site.controller.ends();
 }
 
 /// Three collectors bring reports as fast as they are read, all the while. A sign of life, a new configuration and a
@@ -143,7 +144,7 @@
     // Three of each zone's collectors stay, and all are of one zone.
     let floods: Vec<thread::JoinHandle<()>> = (0..3)
         .map(|_| {
-            let (mut stream, flood, over) = (site.steward.dial(), flood.clone(), over.clone());
+            let (mut stream, flood, over) = (site.controller.dial(), flood.clone(), over.clone());
             thread::spawn(move || {
                 stream
                     .write_all(&message("collector site a"))
@@ -152,22 +153,22 @@
             })
         })
         .collect();
-    site.steward.logs("collector joined zone=", 3);
+    site.controller.logs("collector joined zone=", 3);
     for _ in 0..20 {
         // On a busy machine this takes longer than a watch may be silent; one that was renewed would not hear the drain.
         site.discovery.piece(site.watch, "\n");
-        assert!(pong(&site.steward) < Duration::from_secs(1));
+        assert!(pong(&site.controller) < Duration::from_secs(1));
     }
     site.drains(2, 3);
     site.relay.takes(&crate::party::off(3));
     let relay = crate::party::Party::open();
-    site.steward.moves(site.discovery.at, relay.at);
-    site.steward.logs("configuration reloaded", 1);
+    site.controller.moves(site.discovery.at, relay.at);
+    site.controller.logs("configuration reloaded", 1);
     over.store(true, Relaxed);
     floods
         .into_iter()
         .for_each(|flood| flood.join().expect("no panic"));
-    site.steward.ends();
+    site.controller.ends();
 }
 
 /// Strangers take all descriptors but what they leave in a moment: connections that stand go on, and once they have
@@ -177,7 +178,7 @@
     let (relay_at, calls) = relay(4);
     let (discovery_at, _asked) = discovery(1);
     // More may connect by the configuration than the system lets it hold.
-    let steward = Steward::start_with(discovery_at, relay_at, |command| {
+    let controller = ControllerProcess::start_with(discovery_at, relay_at, |command| {
         let mut limited = Command::new("sh");
         limited
             .arg("-c")
@@ -191,25 +192,25 @@
         limited
     });
     wait_for(&calls, "\"verb\":\"bind\"");
-    let strangers: Vec<TcpStream> = (0..100).map(|_| steward.dial()).collect();
+    let strangers: Vec<TcpStream> = (0..100).map(|_| controller.dial()).collect();
     let until = Instant::now() + SOON;
-    while steward.descriptors() < 40 {
+    while controller.descriptors() < 40 {
         assert!(
             Instant::now() < until,
             "{} descriptors",
-            steward.descriptors()
+            controller.descriptors()
         );
     }
     // Each stranger goes within 1 s of being taken; the last are taken when the first have gone.
     drop(strangers);
     let begun = Instant::now();
-    pong(&steward);
+    pong(&controller);
     assert!(
         begun.elapsed() < Duration::from_secs(4),
         "{:?}",
         begun.elapsed()
     );
-    let log = steward.ends();
+    let log = controller.ends();
     assert!(!log.contains("panicked"), "{log}");
 }
 
@@ -219,7 +220,7 @@
 fn who_asks_without_end_is_closed() {
     let site = Served::with(4);
     for reads in [false, true] {
-        let mut asker = site.steward.dial();
+        let mut asker = site.controller.dial();
         asker.set_write_timeout(Some(SOON)).expect("a limit");
         let asks: Vec<u8> = (0..1_000).flat_map(|_| message("ping")).collect();
         let begun = Instant::now();
@@ -234,8 +235,8 @@
                 "it is still read from"
             );
         }
-        assert!(pong(&site.steward) < Duration::from_secs(1));
+        assert!(pong(&site.controller) < Duration::from_secs(1));
         reader.join().expect("no panic");
     }
-    site.steward.ends();
+    site.controller.ends();
 }
--- a/crates/cli/tests/platform/ends.rs
+++ b/crates/cli/tests/platform/ends.rs
@@ -1,5 +1,6 @@
 //! Its ends: signals while a call, a start or a move is under way.
 
+use crate::controller_process::*;
 use crate::party::{Party, Served, caller_with_a_call, narrow_listener, off};
 use crate::stage::*;
 use std::io::{Read, Write};
@@ -9,13 +10,13 @@
 /// A planned restart kills no sooner than 0.7 s after SIGTERM.
 const BEFORE_THE_KILL: Duration = Duration::from_millis(700);
 
-fn ends_in_time(mut steward: Steward, signal: &str) {
-    steward.signal(signal);
-    let ended = steward.exits_within(BEFORE_THE_KILL);
+fn ends_in_time(mut controller: ControllerProcess, signal: &str) {
+    controller.signal(signal);
+    let ended = controller.exits_within(BEFORE_THE_KILL);
     assert!(
         ended.is_some_and(|ended| ended.success()),
         "{ended:?}: {}",
-        steward.log()
+        controller.log()
     );
 }
 
@@ -26,7 +27,7 @@
         let mut site = Served::with(4);
         site.drains(2, 3);
         let (caller, _) = site.relay.call(&off(3));
-        ends_in_time(site.steward, signal);
+        ends_in_time(site.controller, signal);
         site.relay.closed(caller);
     }
 }
@@ -36,10 +37,10 @@
 fn a_call_half_way_out_holds_no_end_up() {
     let (relay, at) = narrow_listener();
     let (discovery, _asked) = discovery(1);
-    let steward = Steward::start(discovery, at);
+    let controller = ControllerProcess::start(discovery, at);
     let mut caller = caller_with_a_call(&relay);
     caller.read_exact(&mut [0; 16]).expect("the call has begun");
-    ends_in_time(steward, "-TERM");
+    ends_in_time(controller, "-TERM");
 }
 
 /// It knows no host yet, and discovery says nothing.
@@ -47,10 +48,10 @@
 fn before_the_first_list_it_ends_as_well() {
     for signal in ["-TERM", "-INT"] {
         let (mut relay, mut discovery) = (Party::open(), Party::open());
-        let steward = Steward::start_with(discovery.at, relay.at, without_known);
+        let controller = ControllerProcess::start_with(discovery.at, relay.at, without_known);
         discovery.line("GET /registry/instances HTTP");
         relay.watcher(&[0, 1]);
-        ends_in_time(steward, signal);
+        ends_in_time(controller, signal);
     }
 }
 
@@ -74,21 +75,21 @@
 #[test]
 fn it_ends_while_it_moves() {
     let site = Served::with(4);
-    let good = std::fs::read_to_string(&site.steward.config).expect("the file");
-    std::fs::write(&site.steward.config, &good[..good.len() / 2]).expect("written");
-    site.steward.signal("-HUP");
-    site.steward.logs("configuration reload failed", 1);
-    ends_in_time(site.steward, "-TERM");
+    let good = std::fs::read_to_string(&site.controller.config).expect("the file");
+    std::fs::write(&site.controller.config, &good[..good.len() / 2]).expect("written");
+    site.controller.signal("-HUP");
+    site.controller.logs("configuration reload failed", 1);
+    ends_in_time(site.controller, "-TERM");
 
     let site = Served::with(4);
     let (mut relay, mut discovery) = (Party::open(), Party::open());
-    site.steward.moves(discovery.at, relay.at);
+    site.controller.moves(discovery.at, relay.at);
     discovery.line("GET /registry/instances HTTP");
     relay.line("relay.watch");
-    ends_in_time(site.steward, "-TERM");
+    ends_in_time(site.controller, "-TERM");
 }
 
-/// A signal that came while the configuration was being read, as at a start under load, killed the steward: it was
+/// A signal that came while the configuration was being read, as at a start under load, killed the controller: it was
 /// followed only once the file was read.
 #[test]
 fn a_signal_at_the_start_waits_for_the_configuration() {
@@ -96,7 +97,7 @@
     let (discovery_at, _asked) = discovery(1);
     let mut text = String::new();
     let mut pipe = None;
-    let steward = Steward::start_with(discovery_at, relay_at, |mut command| {
+    let controller = ControllerProcess::start_with(discovery_at, relay_at, |mut command| {
         let path = command
             .get_envs()
             .find(|(name, _)| *name == "RELAY_CONFIG")
@@ -116,19 +117,19 @@
         command
     });
     let (at, path) = pipe.expect("a pipe");
-    // This comes back once the steward has opened the other end.
+    // This comes back once the controller has opened the other end.
     let mut writing = std::fs::OpenOptions::new()
         .write(true)
         .open(&at)
         .expect("opened");
-    steward.signal("-HUP");
+    controller.signal("-HUP");
     // What is read again is a file like any other.
     std::fs::rename(&path, &at).expect("renamed");
     writing
         .write_all(text.as_bytes())
-        .expect("the steward still reads");
+        .expect("the controller still reads");
     drop(writing);
     wait_for(&calls, "\"verb\":\"bind\"");
-    let log = steward.ends();
+    let log = controller.ends();
     assert_eq!(log.matches("configuration reloaded").count(), 1, "{log}");
 }
--- a/crates/cli/tests/platform/lists.rs
+++ b/crates/cli/tests/platform/lists.rs
@@ -1,5 +1,6 @@
 //! The watch on the list: silent, in pieces, numbered otherwise, closed.
 
+use crate::controller_process::*;
 use crate::party::{ALIVE, Party, Served, changes, off};
 use crate::stage::*;
 use std::time::{Duration, Instant};
@@ -25,7 +26,7 @@
         .piece(watch, &changes(2, &[host(1, 3, "Terminating")]));
     site.relay.takes(&off(3));
     assert!(begun.elapsed() < 2 * TOLD, "{:?}", begun.elapsed());
-    site.steward.ends();
+    site.controller.ends();
 }
 
 /// Half a line, and then nothing; or byte after byte of a line that does not end. Nothing of it is kept.
@@ -57,7 +58,7 @@
             .piece(watch, &changes(2, &[host(1, 4, "Terminating")]));
         site.relay.takes(&off(4));
         assert_eq!(site.relay.line_count(&off(3)), 0);
-        site.steward.ends();
+        site.controller.ends();
     }
 }
 
@@ -75,7 +76,7 @@
     }
     site.relay.takes(&off(3));
     assert!(!site.discovery.has_closed(site.watch));
-    site.steward.ends();
+    site.controller.ends();
 }
 
 /// Quiet but for signs of life, for longer than any limit, and then a drain on the same watch.
@@ -89,7 +90,7 @@
     site.drains(2, 3);
     site.relay.takes(&off(3));
     assert_eq!(site.discovery.count(), 1);
-    site.steward.ends();
+    site.controller.ends();
 }
 
 /// A whole list in place of a change, under a lower version: what it says holds, and changes go on from there.
@@ -105,7 +106,7 @@
     site.relay.takes(&off(4));
     site.discovery.close(site.watch);
     site.discovery.watch(5);
-    site.steward.ends();
+    site.controller.ends();
 }
 
 /// Changes numbered lower than the list, as after a restart of the agent: they were dropped without a word, and asked
@@ -122,7 +123,7 @@
     site.discovery
         .piece(watch, &changes(4, &[host(1, 4, "Terminating")]));
     site.relay.takes(&off(4));
-    site.steward.ends();
+    site.controller.ends();
 }
 
 /// The last thing that a connection brings is a change: it counts, and the next watch goes on behind it.
@@ -148,7 +149,7 @@
             site.discovery.watch(2);
         }
         site.relay.takes(&off(3));
-        site.steward.ends();
+        site.controller.ends();
     }
 }
 
@@ -157,7 +158,7 @@
 #[test]
 fn a_stale_list_at_the_start_is_put_right() {
     let (mut relay, mut discovery) = (Party::open(), Party::open());
-    let steward = Steward::start(discovery.at, relay.at);
+    let controller = ControllerProcess::start(discovery.at, relay.at);
     let news = relay.watcher(&[0, 1, 2, 3]);
     relay.say(news, ALIVE);
     // All are bound by the stale list; only then discovery speaks.
@@ -165,7 +166,7 @@
     let watch = discovery.watch(1);
     discovery.piece(watch, &changes(7, &[host(1, 3, "Terminating")]));
     relay.takes(&off(3));
-    steward.ends();
+    controller.ends();
 }
 
 /// A line that cannot be read: the watch is given up, nothing of the line is kept, and what was known stays.
@@ -180,6 +181,6 @@
         .piece(watch, &changes(2, &[host(1, 5, "Terminating")]));
     site.relay.takes(&off(5));
     assert_eq!(site.relay.line_count(&off(3)), 0);
-    let log = site.steward.ends();
+    let log = site.controller.ends();
     assert!(log.contains("lifecycle is unknown"), "{log}");
 }
--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -1,6 +1,6 @@
 //! `pondarch platform` as a process, between a scripted relay and a scripted discovery on loopback.
 //!
-//! - `stage`: the process, and parties that follow a script by themselves.
+//! - `controller_process`: the process; `stage`: peers that follow a script by themselves.
 //! - `party`: a party that does what the test says, so that events cross as it wants.
 //! - `channel_relay`, `channel_state`: a relay whose channel to the proxies sends at a limited rate.
 //! - `registry_stand_in`: a registry whose list the test changes.
@@ -15,6 +15,7 @@
 mod channel_relay;
 mod channel_state;
 mod clients;
+mod controller_process;
 mod ends;
 mod lists;
 mod moves;
--- a/crates/cli/tests/platform/moves.rs
+++ b/crates/cli/tests/platform/moves.rs
@@ -1,5 +1,6 @@
 //! SIGHUP: the parties move, and something happens meanwhile.
 
+use crate::controller_process::*;
 use crate::party::{ALIVE, Party, Served, changes, joined, off};
 use crate::stage::*;
 
@@ -9,12 +10,12 @@
 fn what_serves_stays_until_something_else_does() {
     let mut site = Served::with(4);
     let (mut relay_2, mut discovery_2) = (Party::open(), Party::open());
-    site.steward.moves(discovery_2.at, relay_2.at);
+    site.controller.moves(discovery_2.at, relay_2.at);
     // They accept and say nothing.
     relay_2.line("relay.watch");
     discovery_2.line("GET /registry/instances HTTP");
     let (mut relay_3, mut discovery_3) = (Party::open(), Party::open());
-    site.steward.moves(discovery_3.at, relay_3.at);
+    site.controller.moves(discovery_3.at, relay_3.at);
     relay_3.line("relay.watch");
     discovery_3.line("GET /registry/instances HTTP");
     // Lists, news and calls go on where they did.
@@ -28,7 +29,7 @@
     relay_3.takes("\"bind\",\"id\":9");
     site.relay.closed(site.news);
     site.relay.closed(site.caller);
-    site.steward.ends();
+    site.controller.ends();
 }
 
 /// A relay that accepts a connection and says nothing is none that serves: calls went there, and each was lost.
@@ -36,7 +37,7 @@
 fn calls_go_on_where_they_are_taken() {
     let mut site = Served::with(4);
     let mut relay = Party::open();
-    site.steward.moves(site.discovery.at, relay.at);
+    site.controller.moves(site.discovery.at, relay.at);
     relay.line("relay.watch");
     // The other connection is up as well.
     for _ in 0..2 {
@@ -47,7 +48,7 @@
     // Once it lists who stands it serves.
     let again = relay.line_count("relay.apply");
     assert_eq!(again, 0, "a call went to the relay that says nothing");
-    site.steward.ends();
+    site.controller.ends();
 }
 
 /// There and back before the other address serves, and once more after it does.
@@ -55,10 +56,10 @@
 fn there_and_back_leaves_one_that_serves() {
     let mut site = Served::with(4);
     let (mut relay_2, mut discovery_2) = (Party::open(), Party::open());
-    site.steward.moves(discovery_2.at, relay_2.at);
+    site.controller.moves(discovery_2.at, relay_2.at);
     relay_2.line("relay.watch");
     discovery_2.line("GET /registry/instances HTTP");
-    site.steward.moves(site.discovery.at, site.relay.at);
+    site.controller.moves(site.discovery.at, site.relay.at);
     site.discovery.lists(1, &list_hosts());
     let watch = site.discovery.watch(1);
     let news = site.relay.watcher(&[0, 1, 2, 3]);
@@ -69,7 +70,7 @@
         .piece(watch, &changes(2, &[host(1, 5, "Terminating")]));
     site.relay.takes(&off(5));
 
-    site.steward.moves(discovery_2.at, relay_2.at);
+    site.controller.moves(discovery_2.at, relay_2.at);
     discovery_2.lists(7, &list_hosts());
     let watch_2 = discovery_2.watch(7);
     let news_2 = relay_2.watcher(&[0, 1, 2, 3]);
@@ -77,7 +78,7 @@
     relay_2.takes("\"bind\",\"id\":3");
     discovery_2.piece(watch_2, &changes(8, &[host(1, 6, "Terminating")]));
     relay_2.takes(&off(6));
-    site.steward.ends();
+    site.controller.ends();
 }
 
 fn list_hosts() -> Vec<String> {
@@ -88,28 +89,28 @@
 #[test]
 fn a_wrong_file_changes_nothing() {
     let mut site = Served::with(4);
-    let good = std::fs::read_to_string(&site.steward.config).expect("the file");
+    let good = std::fs::read_to_string(&site.controller.config).expect("the file");
     let wrong = good.replace(
         &format!("\"hub\":{{\"address\":\"{}\"}}", site.relay.at),
         "\"hub\":{\"address\":\"nowhere\"}",
     );
     assert_ne!(good, wrong);
-    std::fs::write(&site.steward.config, wrong).expect("written");
-    site.steward.signal("-HUP");
-    site.steward
+    std::fs::write(&site.controller.config, wrong).expect("written");
+    site.controller.signal("-HUP");
+    site.controller
         .logs("'hub.address' is missing or is no address", 1);
     site.drains(2, 3);
     assert_eq!(site.relay.takes(&off(3)), site.caller);
     let mut relay = Party::open();
     std::fs::write(
-        &site.steward.config,
-        config(site.steward.listen, site.discovery.at, relay.at),
+        &site.controller.config,
+        config(site.controller.listen, site.discovery.at, relay.at),
     )
     .expect("written");
     let news = relay.watcher(&[0, 1, 2, 3]);
     relay.say(news, ALIVE);
     relay.takes("\"bind\",\"id\":3");
-    let log = site.steward.ends();
+    let log = site.controller.ends();
     assert_eq!(
         log.matches("configuration reload failed").count(),
         1,
@@ -122,7 +123,7 @@
 fn drains_right_after_a_move_go_out() {
     let mut site = Served::with(4);
     let (mut relay, mut discovery) = (Party::open(), Party::open());
-    site.steward.moves(discovery.at, relay.at);
+    site.controller.moves(discovery.at, relay.at);
     discovery.line("GET /registry/instances HTTP");
     relay.line("relay.watch");
     site.drains(2, 3);
@@ -134,5 +135,5 @@
     let watch = discovery.watch(1);
     discovery.piece(watch, &changes(2, &[host(1, 4, "Terminating")]));
     assert_eq!(site.relay.takes(&off(4)), site.caller);
-    site.steward.ends();
+    site.controller.ends();
 }
--- a/crates/cli/tests/platform/party.rs
+++ b/crates/cli/tests/platform/party.rs
@@ -1,7 +1,8 @@
 //! A party that does nothing by itself: the test reads what reached it and says what it answers, so that an event is
 //! held back until the other one has happened.
 
-use crate::stage::{SOON, Steward, host, list_of};
+use crate::controller_process::ControllerProcess;
+use crate::stage::{SOON, host, list_of};
 use serde_json::Value;
 use socket2::SockRef;
 use std::collections::VecDeque;
@@ -233,9 +234,9 @@
     list_of(version, hosts).replace("\"reset\":true", "\"reset\":false") + "\n"
 }
 
-/// A steward that serves so many proxies, and the connections it has.
+/// A controller that serves so many proxies, and the connections it has.
 pub(crate) struct Served {
-    pub steward: Steward,
+    pub controller: ControllerProcess,
     pub relay: Party,
     pub discovery: Party,
     pub news: usize,
@@ -246,7 +247,7 @@
 impl Served {
     pub(crate) fn with(proxies: u16) -> Served {
         let (mut relay, mut discovery) = (Party::open(), Party::open());
-        let steward = Steward::start(discovery.at, relay.at);
+        let controller = ControllerProcess::start(discovery.at, relay.at);
         let watch = discovery.watch(1);
         discovery.piece(watch, "\n");
         let news = relay.watcher(&(0..proxies).collect::<Vec<_>>());
@@ -254,7 +255,7 @@
         let last = format!("\"bind\",\"id\":{}", proxies - 1);
         let caller = relay.takes(&last);
         Served {
-            steward,
+            controller,
             relay,
             discovery,
             news,
--- a/crates/cli/tests/platform/relay.rs
+++ b/crates/cli/tests/platform/relay.rs
@@ -1,5 +1,6 @@
 //! Calls and news: answers too late or of another call, cuts in the worst moment, a relay that closes at once.
 
+use crate::controller_process::*;
 use crate::party::{
     ALIVE, Party, Served, answer, caller_with_a_call, joined, narrow_listener, off,
 };
@@ -24,7 +25,7 @@
     site.relay.take(second, &again);
     site.drains(3, 4);
     assert_eq!(site.relay.takes(&off(4)), second);
-    let log = site.steward.ends();
+    let log = site.controller.ends();
     assert_eq!(log.matches("update call failed").count(), 1, "{log}");
 }
 
@@ -42,27 +43,27 @@
         let second = site.relay.takes(&off(3));
         assert_ne!(first, second);
         site.relay.closed(first);
-        site.steward.ends();
+        site.controller.ends();
     }
 }
 
-/// The relay closes the idle connection in the moment in which a drain is told: both are there when the steward, held
+/// The relay closes the idle connection in the moment in which a drain is told: both are there when the controller, held
 /// still meanwhile, goes on.
 #[test]
 fn an_idle_close_as_a_call_is_due_loses_no_call() {
     for reset in [false, true] {
         let mut site = Served::with(4);
-        site.steward.signal("-STOP");
+        site.controller.signal("-STOP");
         if reset {
             site.relay.reset(site.caller);
         } else {
             site.relay.close(site.caller);
         }
         site.drains(2, 3);
-        site.steward.signal("-CONT");
+        site.controller.signal("-CONT");
         let caller = site.relay.takes(&off(3));
         assert_ne!(caller, site.caller);
-        site.steward.ends();
+        site.controller.ends();
     }
 }
 
@@ -79,7 +80,7 @@
             site.relay.close(caller);
         }
         site.relay.takes(&off(3));
-        site.steward.ends();
+        site.controller.ends();
     }
 }
 
@@ -88,7 +89,7 @@
 fn a_cut_before_the_last_byte_is_made_good() {
     let (relay, at) = narrow_listener();
     let (discovery, _asked) = discovery(1);
-    let steward = Steward::start(discovery, at);
+    let controller = ControllerProcess::start(discovery, at);
     let mut caller = caller_with_a_call(&relay);
     caller.read_exact(&mut [0; 16]).expect("the call has begun");
     SockRef::from(&caller)
@@ -107,14 +108,14 @@
             break;
         }
     }
-    steward.ends();
+    controller.ends();
 }
 
 /// News break between what stands and the first sign of life. Whom only the broken list named has left.
 #[test]
 fn news_cut_before_the_first_sign_of_life_leave_no_ghosts() {
     let (mut relay, mut discovery) = (Party::open(), Party::open());
-    let steward = Steward::start(discovery.at, relay.at);
+    let controller = ControllerProcess::start(discovery.at, relay.at);
     discovery.watch(1);
     let news = relay.watcher(&[0, 1, 2, 3]);
     relay.takes("\"bind\",\"id\":3");
@@ -125,8 +126,8 @@
     // Who joins after that is bound, and who was named by the broken list alone is not.
     relay.say(news, &joined(7));
     relay.takes("\"bind\",\"id\":7");
-    steward.logs("counters", 1);
-    let log = steward.ends();
+    controller.logs("counters", 1);
+    let log = controller.ends();
     let members = log
         .lines()
         .rfind(|line| line.contains("counters"))
@@ -147,14 +148,14 @@
         .say(news, "{\"method\":\"left\",\"params\":{\"id\":2}}\n");
     site.relay.say(news, &joined(2));
     site.relay.takes("\"bind\",\"id\":2");
-    site.steward.ends();
+    site.controller.ends();
 }
 
 /// BUSY for two seconds: asked again at a calm pace on one connection, and served at once when it is over.
 #[test]
 fn a_busy_relay_is_asked_at_a_calm_pace() {
     let (mut relay, mut discovery) = (Party::open(), Party::open());
-    let steward = Steward::start(discovery.at, relay.at);
+    let controller = ControllerProcess::start(discovery.at, relay.at);
     discovery.watch(1);
     let news = relay.watcher(&[0, 1, 2, 3]);
     relay.say(news, ALIVE);
@@ -175,7 +176,7 @@
         "on one connection: {on:?}"
     );
     relay.takes("\"bind\",\"id\":3");
-    steward.ends();
+    controller.ends();
 }
 
 /// A relay that takes each connection and closes it at once, as one that holds as many as it may does, was dialled
@@ -191,11 +192,11 @@
             counted.fetch_add(1, Relaxed);
         }
     });
-    let steward = Steward::start(discovery, at);
-    steward.logs("relay connection failed", 1);
+    let controller = ControllerProcess::start(discovery, at);
+    controller.logs("relay connection failed", 1);
     thread::sleep(Duration::from_secs(1));
     // Two connections, each ten times a second at most.
     let dialled = dialled.load(Relaxed);
     assert!((2..=40).contains(&dialled), "dialled {dialled} times");
-    steward.ends();
+    controller.ends();
 }
--- a/crates/cli/tests/platform/serving.rs
+++ b/crates/cli/tests/platform/serving.rs
@@ -1,5 +1,6 @@
 //! A whole course: serving, a move, an end; memory and descriptors; strangers.
 
+use crate::controller_process::*;
 use crate::stage::*;
 use std::io::{Read, Write};
 use std::net::TcpStream;
@@ -28,7 +29,7 @@
 fn it_serves_moves_and_ends() {
     let (relay_at, calls) = relay(12);
     let (discovery_at, asked) = discovery(1);
-    let steward = Steward::start(discovery_at, relay_at);
+    let controller = ControllerProcess::start(discovery_at, relay_at);
     wait_for(&calls, "relay.watch");
     wait_for(&calls, "\"verb\":\"bind\"");
     wait_for(&asked, "follow=1&since=1");
@@ -36,16 +37,16 @@
     wait_for(&asked, "follow=1&since=1");
 
     // A file that is half written changes nothing, even if told twice; a good one does, and lists are asked for anew.
-    let good = std::fs::read_to_string(&steward.config).expect("the file");
-    std::fs::write(&steward.config, &good[..good.len() / 2]).expect("written");
-    steward.signal("-HUP");
-    steward.signal("-HUP");
+    let good = std::fs::read_to_string(&controller.config).expect("the file");
+    std::fs::write(&controller.config, &good[..good.len() / 2]).expect("written");
+    controller.signal("-HUP");
+    controller.signal("-HUP");
     thread::sleep(Duration::from_millis(300));
     let (relay_next, calls_next) = relay(12);
     let (discovery_next, asked_next) = discovery(0);
     std::fs::write(
-        &steward.config,
-        config(steward.listen, discovery_next, relay_next),
+        &controller.config,
+        config(controller.listen, discovery_next, relay_next),
     )
     .expect("written");
     wait_for(&asked_next, "GET /registry/instances HTTP");
@@ -67,7 +68,7 @@
         );
         thread::sleep(Duration::from_millis(5));
     }
-    let log = steward.ends();
+    let log = controller.ends();
     // Two signals may be told as one.
     assert!(
         (1..=2).contains(&log.matches("configuration reload failed").count()),
@@ -80,19 +81,19 @@
 fn a_call_under_way_ends_where_it_began() {
     let (relay_at, calls) = slow_relay(12, Duration::from_millis(200));
     let (discovery_at, _asked) = discovery(1);
-    let steward = Steward::start(discovery_at, relay_at);
+    let controller = ControllerProcess::start(discovery_at, relay_at);
     wait_for(&calls, "\"verb\":\"bind\"");
     let (relay_next, calls_next) = relay(14);
     std::fs::write(
-        &steward.config,
-        config(steward.listen, discovery_at, relay_next),
+        &controller.config,
+        config(controller.listen, discovery_at, relay_next),
     )
     .expect("written");
-    steward.signal("-HUP");
+    controller.signal("-HUP");
     wait_for(&calls_next, "relay.watch");
     // Whoever joined meanwhile is bound by the new relay alone.
     wait_for(&calls_next, "\"bind\",\"id\":13");
-    let log = steward.ends();
+    let log = controller.ends();
     assert!(
         !log.contains("update call failed") && !log.contains("relay connection failed"),
         "{log}"
@@ -116,7 +117,7 @@
             Some(())
         }),
     );
-    let steward = Steward::start(discovery_at, relay_at);
+    let controller = ControllerProcess::start(discovery_at, relay_at);
     wait_for(&calls, "\"target\":\"s-1-3\"");
     let before = Instant::now();
     wait_for(&calls, "\"target\":\"s-1-3\",\"rps\":0.0}");
@@ -125,7 +126,7 @@
         "{:?}",
         before.elapsed()
     );
-    steward.ends();
+    controller.ends();
 }
 
 /// Hosts under new ids fifty times a second, and strangers all the while: memory and descriptors stay as they were.
@@ -142,49 +143,49 @@
             Some(())
         }),
     );
-    let steward = Steward::start(discovery_at, relay_at);
+    let controller = ControllerProcess::start(discovery_at, relay_at);
     wait_for(&calls, "\"verb\":\"bind\"");
     let strangers = |rounds: usize| {
         for _ in 0..rounds {
-            let mut some: Vec<TcpStream> = (0..10).map(|_| steward.dial()).collect();
+            let mut some: Vec<TcpStream> = (0..10).map(|_| controller.dial()).collect();
             some.iter_mut()
                 .for_each(|stranger| drop(stranger.write_all(&message("odd"))));
             thread::sleep(Duration::from_millis(20));
         }
     };
     strangers(100);
-    let (memory, descriptors) = (steward.memory(), steward.descriptors());
+    let (memory, descriptors) = (controller.memory(), controller.descriptors());
     strangers(200);
     // Hosts of the last 30 s are still known, some 300 bytes each; a connection or task that stays takes far more.
-    let grown = steward.memory().saturating_sub(memory);
+    let grown = controller.memory().saturating_sub(memory);
     assert!(grown < 3_000, "{grown} KiB more than {memory}");
     assert!(
-        steward.descriptors() <= descriptors + 12,
+        controller.descriptors() <= descriptors + 12,
         "{} then {}",
         descriptors,
-        steward.descriptors()
+        controller.descriptors()
     );
-    steward.ends();
+    controller.ends();
 }
 
 #[test]
 fn strangers_are_refused_and_lock_nobody_out() {
     let (relay_at, _calls) = relay(4);
     let (discovery_at, _asked) = discovery(1);
-    let steward = Steward::start(discovery_at, relay_at);
-    let mut ping = steward.dial();
+    let controller = ControllerProcess::start(discovery_at, relay_at);
+    let mut ping = controller.dial();
     ping.write_all(&message("ping")).expect("written");
     let mut pong = [0; 14];
     ping.read_exact(&mut pong).expect("an answer");
     assert_eq!(&pong, b"*1\r\n$4\r\npong\r\n");
     drop(ping);
 
-    let mut collector = steward.dial();
+    let mut collector = controller.dial();
     collector
         .write_all(&message("collector site a"))
         .expect("written");
     let before = Instant::now();
-    let silent: Vec<TcpStream> = (0..400).map(|_| steward.dial()).collect();
+    let silent: Vec<TcpStream> = (0..400).map(|_| controller.dial()).collect();
     for bad in [
         b"GET / HTTP/1.1\r\n\r\n".to_vec(),
         b"*1000000000000000000\r\n".to_vec(),
@@ -194,7 +195,7 @@
         message("ping")[..7].to_vec(),
         vec![b'*'; 100_000],
     ] {
-        let mut stranger = steward.dial();
+        let mut stranger = controller.dial();
         // It may be closed before all is written.
         stranger.write_all(&bad).ok();
         let answer = said(stranger);
@@ -205,9 +206,9 @@
     }
     assert!(before.elapsed() < Duration::from_secs(3));
     assert!(
-        steward.descriptors() <= 128,
+        controller.descriptors() <= 128,
         "{} descriptors",
-        steward.descriptors()
+        controller.descriptors()
     );
     // Reports go on all the while, spoilt ones among them.
     for text in [
@@ -232,8 +233,8 @@
     drop(silent);
     thread::sleep(Duration::from_millis(300));
     assert!(
-        steward.descriptors() < 40,
+        controller.descriptors() < 40,
         "{} descriptors",
-        steward.descriptors()
+        controller.descriptors()
     );
 }
--- a/crates/cli/tests/platform/starts.rs
+++ b/crates/cli/tests/platform/starts.rs
@@ -1,12 +1,13 @@
 //! Many that start at once, while hosts are cold.
 
+use crate::controller_process::*;
 use crate::stage::*;
 use std::io::{Read, Write};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// Two dozen stewards start at one time; most hosts of the list have just started as well, and all proxies join within
-/// the first second. Each steward is ready long before 10 s, and each proxy has a host.
+/// Two dozen controllers start at one time; most hosts of the list have just started as well, and all proxies join within
+/// the first second. Each controller is ready long before 10 s, and each proxy has a host.
 #[test]
 fn two_dozen_start_at_once_with_cold_hosts() {
     let (discovery_at, _asked) = watched_discovery(
@@ -32,11 +33,11 @@
     let started: Vec<_> = (0..24)
         .map(|_| {
             let (relay_at, calls) = relay(20);
-            (Steward::start(discovery_at, relay_at), calls)
+            (ControllerProcess::start(discovery_at, relay_at), calls)
         })
         .collect();
-    for (steward, _) in &started {
-        let mut ping = steward.dial();
+    for (controller, _) in &started {
+        let mut ping = controller.dial();
         ping.write_all(&message("ping")).expect("written");
         let mut pong = [0; 14];
         ping.read_exact(&mut pong).expect("an answer");
@@ -47,7 +48,7 @@
         "{:?}",
         begun.elapsed()
     );
-    for (steward, calls) in started {
+    for (controller, calls) in started {
         let mut bound = std::collections::BTreeSet::new();
         let until = Instant::now() + SOON;
         while bound.len() < 20 {
@@ -67,6 +68,6 @@
                     .filter_map(|o| o["id"].as_u64()),
             );
         }
-        steward.ends();
+        controller.ends();
     }
 }
--- a/crates/cli/tests/platform/warming.rs
+++ b/crates/cli/tests/platform/warming.rs
@@ -5,7 +5,7 @@
 
 fn assert_no_host_fell_over(fleet: &WarmingFleet) {
     let worst = fleet.worst();
-    let log = fleet.steward.log();
+    let log = fleet.controller.log();
     let is_of_cap = |line: &&str| line.contains(" message cap ");
     log.lines()
         .filter(is_of_cap)
--- a/crates/cli/tests/platform/warming_fleet.rs
+++ b/crates/cli/tests/platform/warming_fleet.rs
@@ -2,8 +2,9 @@
 //! they hold.
 
 use crate::channel_relay::{ChannelRelay, MESSAGE_OVERHEAD};
+use crate::controller_process::ControllerProcess;
 use crate::registry_stand_in::{Listed, Registry};
-use crate::stage::{Steward, message};
+use crate::stage::message;
 use crate::warming_load::{WarmingLoad, WarmingRule, Worst};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
@@ -68,7 +69,7 @@
 pub(crate) struct WarmingFleet {
     pub relay: Arc<ChannelRelay>,
     pub registry: Registry,
-    pub steward: Steward,
+    pub controller: ControllerProcess,
     pub begun: Instant,
     /// When the controller was started last.
     started: Instant,
@@ -116,12 +117,13 @@
             ..Behaviour::default()
         };
         let known = registry.complete_list();
-        let steward =
-            Steward::start_configured(|listen| config(listen, proxies, &known, upstreams));
+        let controller = ControllerProcess::start_configured(|listen| {
+            config(listen, proxies, &known, upstreams)
+        });
         let fleet = WarmingFleet {
             relay,
             registry,
-            steward,
+            controller,
             begun: Instant::now(),
             started: Instant::now(),
             proxies,
@@ -180,10 +182,10 @@
     /// Kills the controller and starts it again with the list as it was `known`.
     pub(crate) fn restart_controller(&mut self, known: &Value) {
         self.load().told_again(START_GRACE);
-        let config = config(self.steward.listen, self.proxies, known, self.upstreams);
-        self.steward.kill();
+        let config = config(self.controller.listen, self.proxies, known, self.upstreams);
+        self.controller.kill();
         self.relay.forget_controller();
-        self.steward.restart(&config);
+        self.controller.restart(&config);
         self.started = Instant::now();
         self.load().told_again(START_GRACE);
     }
@@ -197,8 +199,8 @@
             relay: self.relay.listen_elsewhere(),
         };
         let known = self.registry.complete_list();
-        let config = config(self.steward.listen, self.proxies, &known, self.upstreams);
-        self.steward.reconfigure(&config);
+        let config = config(self.controller.listen, self.proxies, &known, self.upstreams);
+        self.controller.reconfigure(&config);
     }
 
     fn spawn_sampler(&self) {
@@ -218,7 +220,7 @@
 
     fn spawn_collector(&self) {
         let (alive, relay) = (Arc::downgrade(&self.load), self.relay.clone());
-        let (behaviour, listen) = (self.behaviour.clone(), self.steward.listen);
+        let (behaviour, listen) = (self.behaviour.clone(), self.controller.listen);
         thread::spawn(move || {
             let mut collector = Collector::default();
             while alive.upgrade().is_some() {
--- a/crates/cli/tests/platform/warming_soak.rs
+++ b/crates/cli/tests/platform/warming_soak.rs
@@ -123,7 +123,7 @@
             most_messages: self.fleet.relay.most_messages(),
             most_waiting: self.fleet.relay.most_waiting(),
             faults: self.faults,
-            log: self.fleet.steward.log(),
+            log: self.fleet.controller.log(),
         }
     }
 
@@ -239,7 +239,7 @@
         }
         if self.random.bool() {
             self.note("SIGTERM");
-            self.fleet.steward.signal("-TERM");
+            self.fleet.controller.signal("-TERM");
             thread::sleep(TERM_TO_KILL);
         }
         self.note("SIGKILL");
