Follow steps of the wall clock when hosts' start times are listed

Cause: io-util::Clock reads the wall clock once, and hosts' starts are listed by it: after a step back of two minutes each host that restarts looks warm and gets its full weight, after a step forward it stays cold for as long. Evidence: a_stepped_wall_clock_hides_no_slow_start fails without the change ('it has 1, ahead: false'). Not shown on real processes: the machine's clock is not ours to step.

--- a/crates/io-util/src/clock.rs
+++ b/crates/io-util/src/clock.rs
@@ -14,11 +14,8 @@
     /// A clock that agrees with the wall clock at this moment.
     #[must_use]
     pub fn start() -> Clock {
-        let since_epoch = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
         Clock {
-            start_us: since_epoch.as_micros() as u64,
+            start_us: wall_us(),
             start: Instant::now(),
         }
     }
@@ -29,6 +26,12 @@
         Time::from_micros(self.start_us + self.start.elapsed().as_micros() as u64)
     }
 
+    /// What the wall clock shows now, in microseconds since 1970. It may be stepped.
+    #[must_use]
+    pub fn wall(&self) -> Time {
+        Time::from_micros(wall_us())
+    }
+
     /// The same point in time on the monotonic clock of the machine.
     #[must_use]
     pub fn instant(&self, at: Time) -> Instant {
@@ -36,3 +39,8 @@
         self.start + since_start
     }
 }
+
+fn wall_us() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.unwrap_or_default().as_micros() as u64
+}
--- a/crates/platform-core/src/controller.rs
+++ b/crates/platform-core/src/controller.rs
@@ -3,6 +3,7 @@
 use crate::counters::Counters;
 use crate::membership::Membership;
 use crate::updates::{MAX_BATCH_SIZE, UpdateCall};
+use crate::wall_clock::WallClock;
 use pondarch_controller::HealthCheckResult;
 use pondarch_controller::{
     Controller, Decision, HostId, HostLoad, HostTransition, StatusSnapshot, Time, ZoneId,
@@ -20,6 +21,8 @@
 pub enum Input {
     /// Nothing but that time has passed.
     Timer,
+    /// What the wall clock shows now. It may be stepped, and the starts of hosts are listed by it.
+    WallClock(Time),
     /// The registry sent a complete endpoint list or changes.
     EndpointList(RegistryList),
     /// The watch on the registry failed.
@@ -94,6 +97,7 @@
     pub(crate) names: DeploymentNames,
     pub(crate) proxy_count: u64,
     pub(crate) membership: Membership,
+    pub(crate) wall_clock: WallClock,
     pub(crate) health_check_addresses: BTreeMap<HostId, SocketAddr>,
     pub(crate) relay_reachable: bool,
     /// The number of the last call.
@@ -118,6 +122,7 @@
             controller: Controller::new(deployment, config.seed, now),
             names: config.names,
             membership: Membership::default(),
+            wall_clock: WallClock::default(),
             health_check_addresses: BTreeMap::new(),
             relay_reachable: false,
             last_call: 0,
@@ -141,6 +146,7 @@
         }
         match input {
             Input::Timer => {}
+            Input::WallClock(wall) => self.wall_clock.observe(now, wall),
             Input::EndpointList(list) => self.apply_endpoint_list(now, list),
             Input::EndpointListFailed => self.controller.endpoint_list_failed(now),
             Input::MembershipWatchStarted => self.membership.begin_list(),
--- a/crates/platform-core/src/inputs.rs
+++ b/crates/platform-core/src/inputs.rs
@@ -2,11 +2,11 @@
 
 use crate::controller::PlatformController;
 use crate::membership::JoinKind;
-use pondarch_controller::EndpointList;
 use pondarch_controller::JoiningProxy;
 use pondarch_controller::{
     AttemptOutcomes, EndpointState, HostId, HostLoad, ProxyId, RequestClassId, Time,
 };
+use pondarch_controller::{Endpoint, EndpointList};
 use pondarch_platform_protocol::registry::RegistryList;
 use pondarch_platform_protocol::relay::MembershipEvent;
 use pondarch_platform_protocol::report::{MalformedMessage, Message};
@@ -32,10 +32,14 @@
                 }
             }
         }
+        let wall_clock = &self.wall_clock;
         let endpoints = list
             .entries
             .iter()
-            .map(|entry| entry.to_endpoint(&mut self.names))
+            .map(|entry| Endpoint {
+                started: wall_clock.to_monotonic(entry.started),
+                ..entry.to_endpoint(&mut self.names)
+            })
             .collect();
         self.controller.apply_endpoint_list(
             now,
--- a/crates/platform-core/src/lib.rs
+++ b/crates/platform-core/src/lib.rs
@@ -9,6 +9,7 @@
 //! - `inputs`: endpoint lists, membership events and reports to the decision module's calls.
 //! - `updates`: decisions to update calls, and the calls' outcomes.
 //! - `membership`: which proxies are connected.
+//! - `wall_clock`: start times of hosts, listed by a clock that may be stepped.
 //! - `counters`: counts for the log.
 
 mod controller;
@@ -16,6 +17,7 @@
 mod inputs;
 mod membership;
 mod updates;
+mod wall_clock;
 
 pub use controller::{CallOutcome, Input, Output, PlatformController};
 pub use counters::Counters;
--- a/crates/platform-core/tests/simulated_fleet/hosts.rs
+++ b/crates/platform-core/tests/simulated_fleet/hosts.rs
@@ -1,7 +1,7 @@
 //! The registry: hosts that drain, restart, are replaced and removed.
 
 use super::{HostState, SimulatedFleet, ZONES, host_name};
-use pondarch_controller::EndpointState;
+use pondarch_controller::{EndpointState, Time};
 use pondarch_platform_core::Input;
 use pondarch_platform_protocol::registry;
 use serde_json::{Value, json};
@@ -83,6 +83,12 @@
         self.change_host(number, EndpointState::Ready, self.now / 1_000 * 1_000);
     }
 
+    /// The same, and the start is listed by a wall clock that shows another time.
+    pub(crate) fn restart_by_wall_clock(&mut self, number: usize, wall: u64) {
+        self.handle(Input::WallClock(Time::from_micros(wall)));
+        self.change_host(number, EndpointState::Ready, wall / 1_000 * 1_000);
+    }
+
     /// A release puts a new host, under a new id, in the place of an old one.
     pub(crate) fn replace(&mut self, release: usize, number: usize) {
         self.remove((release - 1) * 100 + number);
--- a/crates/platform-core/tests/simulated_fleet/relay.rs
+++ b/crates/platform-core/tests/simulated_fleet/relay.rs
@@ -85,6 +85,14 @@
         self.weights.len()
     }
 
+    /// The largest weight of a host in any table.
+    pub(crate) fn largest_weight_of(&self, number: usize) -> f64 {
+        let host = host_name(number);
+        let weights = self.weights.iter();
+        let of_host = weights.filter(|((_, member), _)| *member == host);
+        of_host.map(|(_, weight)| *weight).fold(0.0, f64::max)
+    }
+
     /// Proxies that may send to a host.
     pub(crate) fn users_of(&self, number: usize) -> usize {
         let host = host_name(number);
--- a/crates/platform-core/tests/unreliable_relay.rs
+++ b/crates/platform-core/tests/unreliable_relay.rs
@@ -334,3 +334,27 @@
         Step::Wait(millis) => fleet.run(millis),
     }
 }
+
+/// Hosts' starts are listed by the wall clock: one set back made a host that had just started look warm, one set forward kept
+/// it cold for as long.
+#[test]
+fn a_stepped_wall_clock_hides_no_slow_start() {
+    const STEP_MICROS: u64 = 120_000_000;
+    for is_ahead in [false, true] {
+        let mut fleet = SimulatedFleet::new(20, 8);
+        (0..8).for_each(|n| fleet.join(n, true));
+        fleet.run(3_000);
+        let wall = if is_ahead {
+            fleet.now + STEP_MICROS
+        } else {
+            fleet.now - STEP_MICROS
+        };
+        fleet.restart_by_wall_clock(3, wall);
+        fleet.run(1_500);
+        let weight = fleet.largest_weight_of(3);
+        assert!(weight < 0.5, "it has {weight}, ahead: {is_ahead}");
+        fleet.run(30_000);
+        let weight = fleet.largest_weight_of(3);
+        assert!(weight > 0.4, "it still has {weight}, ahead: {is_ahead}");
+    }
+}
--- a/crates/platform/src/dispatch.rs
+++ b/crates/platform/src/dispatch.rs
@@ -65,6 +65,7 @@
                         "endpoint list applied"
                     );
                 });
+                self.input(Input::WallClock(self.clock.wall()));
                 self.input(Input::EndpointList(list));
             }
             UpstreamEvent::EndpointWatchFailed(error) => {
