Review cases: keep the steward's port free until it starts, time requests when sent

Cause: a stand-in could have been given the steward's port before its start, and a slow answer could have counted as a late request.

--- a/review/standins/world.rs
+++ b/review/standins/world.rs
@@ -104,6 +104,8 @@
     pub discovery: SocketAddr,
     pub relay: SocketAddr,
     pub steward: SocketAddr,
+    /// Keeps the steward's address free for it until it starts.
+    reserved: Mutex<Option<TcpListener>>,
     /// How long a message takes to a proxy.
     pub late: Duration,
     pub folder: String,
@@ -117,10 +119,6 @@
     TcpListener::bind("127.0.0.1:0").expect("a free port")
 }
 
-fn free_address() -> SocketAddr {
-    listener().local_addr().unwrap()
-}
-
 impl State {
     /// A number from 0 to 1.
     pub fn random(&mut self) -> f64 {
@@ -355,6 +353,7 @@
         let record = File::create(format!("{}/record.txt", record_folder())).expect("record.txt");
         let relay = listener();
         let discovery = listener();
+        let reserved = listener();
         let world = Arc::new(World {
             state: Mutex::new(State {
                 hosts: BTreeMap::new(),
@@ -375,7 +374,8 @@
             begun: Instant::now(),
             discovery: discovery.local_addr().unwrap(),
             relay: relay.local_addr().unwrap(),
-            steward: free_address(),
+            steward: reserved.local_addr().unwrap(),
+            reserved: Mutex::new(Some(reserved)),
             late,
             folder: folder.to_string(),
         });
@@ -504,6 +504,7 @@
                 (self.pick(&mut state, id, class), class, pause)
             };
             if let Some((host, address, joined)) = target {
+                let at = Instant::now();
                 let ok = request(address, class);
                 let mut state = self.state();
                 let site = state.proxies[&id].site.clone();
@@ -512,7 +513,7 @@
                 sums.1 += u64::from(!ok);
                 *state.usage.entry((id, class)).or_default() += 1;
                 state.sent.push(Sent {
-                    at: Instant::now(),
+                    at,
                     proxy: id,
                     host,
                     class,
@@ -758,6 +759,7 @@
         let path = format!("{}/config.json", world.folder);
         std::fs::write(&path, config).ok()?;
         let log = File::create(format!("{}/steward.log", world.folder)).ok()?;
+        drop(world.reserved.lock().unwrap().take());
         let child = Command::new("/bin/sh")
             .args(["-c", &std::env::var("RUN").ok()?])
             .env("RELAY_NAME", "n0")
