Write each request and report of the review's cases to their record

Cause: the record named only the requests that broke the rule.

Change: the stand-ins write each request of a proxy and each message of a collector to record.txt.

--- a/review/standins/world.rs
+++ b/review/standins/world.rs
@@ -506,6 +506,8 @@
             if let Some((host, address, joined)) = target {
                 let at = Instant::now();
                 let ok = request(address, class);
+                let answer = if ok { "answered 200" } else { "no answer" };
+                self.note(&format!("proxy {id} sent {class} to {host}: {answer}"));
                 let mut state = self.state();
                 let site = state.proxies[&id].site.clone();
                 let sums = state.sums.entry((site, host.clone())).or_default();
@@ -579,6 +581,9 @@
                 if stream.write_all(&out).is_err() {
                     return;
                 }
+                let words = String::from_utf8_lossy(&out);
+                let words = words.split("\r\n").filter(|word| !word.starts_with(['*', '$']));
+                shared.note(&format!("collector {zone} -> {}", words.collect::<Vec<_>>().join(" ")));
             }
         });
     }
