--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -17,6 +17,9 @@
 /// granted all the same.
 const SILENT_RELAY: Duration = Duration::from_millis(1_500);
 
+/// Within the site's notice_ms: how long after its break a stream is known to be broken.
+const NOTICE: Duration = Duration::from_millis(1_200);
+
 fn main() {
     let folder = std::env::var("WORK").unwrap_or_default();
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
@@ -45,7 +48,11 @@
 
     world.note("the proxies go to the other steward");
     for id in mine {
-        world.state().leave(id);
+        world.state().break_stream(id);
+    }
+    sleep(NOTICE);
+    for id in mine {
+        world.state().notice_break(id);
     }
     sleep(Duration::from_secs(34));
 
--- a/review/standins/world.rs
+++ b/review/standins/world.rs
@@ -59,6 +59,8 @@
     pub site: String,
     pub rate: f64,
     pub joined: Option<Instant>,
+    /// Whether the relay takes it for joined: a broken stream is noticed later.
+    listed: bool,
     /// Whether it holds no table that was ordered.
     pub new: bool,
     /// The table of each class, by the steward's orders on the present stream.
@@ -201,7 +203,7 @@
                     let id = change.get("id").number().unwrap_or(-1.0) as i64 as u64;
                     let routes: Vec<&str> =
                         change.get("routes").list().iter().filter_map(Json::text).collect();
-                    match self.proxies.get_mut(&id).filter(|proxy| proxy.joined.is_some()) {
+                    match self.proxies.get_mut(&id).filter(|proxy| proxy.listed) {
                         Some(proxy) => {
                             for class in CLASSES {
                                 if routes.is_empty() || routes.contains(&class) {
@@ -243,7 +245,7 @@
             taken += 1;
         }
         if marks.iter().any(|(_, all)| *all) {
-            let joined = self.proxies.iter().filter(|(_, proxy)| proxy.joined.is_some());
+            let joined = self.proxies.iter().filter(|(_, proxy)| proxy.listed);
             reached.extend(joined.map(|(id, _)| *id));
         }
         for id in reached {
@@ -268,7 +270,7 @@
     fn users(&self, table: u64) -> Vec<u64> {
         self.proxies
             .iter()
-            .filter(|(_, proxy)| proxy.joined.is_some() && proxy.bound.values().any(|t| *t == table))
+            .filter(|(_, proxy)| proxy.listed && proxy.bound.values().any(|t| *t == table))
             .map(|(id, _)| *id)
             .collect()
     }
@@ -280,6 +282,10 @@
         for (id, proxy) in &mut self.proxies {
             while proxy.inbox.front().is_some_and(|message| message.due <= now) {
                 let message = proxy.inbox.pop_front().unwrap();
+                // What was on its way when the stream broke is lost.
+                if proxy.joined.is_none() {
+                    continue;
+                }
                 proxy.held = message.held;
                 for mark in message.marks {
                     let ms = (now - message.sent).as_secs_f64() * 1e3;
@@ -302,15 +308,25 @@
     pub fn join(&mut self, id: u64) {
         let proxy = self.proxies.get_mut(&id).unwrap();
         proxy.joined = Some(Instant::now());
+        proxy.listed = true;
         proxy.bound.clear();
+        proxy.inbox.clear();
         proxy.messages.clear();
         let event = State::joined_event(id, proxy);
         self.events.push(event);
     }
 
-    pub fn leave(&mut self, id: u64) {
+    /// A proxy's stream breaks. The proxy keeps its tables; neither side has noticed yet.
+    pub fn break_stream(&mut self, id: u64) {
         let proxy = self.proxies.get_mut(&id).unwrap();
         proxy.joined = None;
+        proxy.inbox.clear();
+    }
+
+    /// The break of a proxy's stream is noticed: the relay tells that it has left.
+    pub fn notice_break(&mut self, id: u64) {
+        let proxy = self.proxies.get_mut(&id).unwrap();
+        proxy.listed = false;
         proxy.bound.clear();
         proxy.inbox.clear();
         self.events.push(format!(
@@ -353,7 +369,10 @@
         let record = File::create(format!("{}/record.txt", record_folder())).expect("record.txt");
         let relay = listener();
         let discovery = listener();
-        let reserved = listener();
+        // An address of the loopback network that no other run uses, so that its port can't be taken in between.
+        let run = std::process::id();
+        let own = std::net::Ipv4Addr::new(127, 64 + (run >> 16) as u8 % 64, (run >> 8) as u8, (run as u8).max(1));
+        let reserved = TcpListener::bind((own, 0)).expect("a free port");
         let world = Arc::new(World {
             state: Mutex::new(State {
                 hosts: BTreeMap::new(),
@@ -479,6 +498,7 @@
                 site: site.to_string(),
                 rate,
                 joined: None,
+                listed: false,
                 new: true,
                 bound: BTreeMap::new(),
                 held: BTreeMap::new(),
@@ -682,7 +702,7 @@
         let mut next = {
             let state = self.state();
             for (id, proxy) in &state.proxies {
-                if proxy.joined.is_some() {
+                if proxy.listed {
                     out += &(State::joined_event(*id, proxy) + "\n");
                 }
             }
