--- a/crates/controller/src/status.rs
+++ b/crates/controller/src/status.rs
@@ -20,8 +20,10 @@
 /// The state of a controller at one point in time.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct StatusSnapshot {
-    /// Number of known hosts.
+    /// Number of known hosts, including removed ones that are not forgotten yet.
     pub known_hosts: usize,
+    /// Number of weights in tables whose last update may not have been applied.
+    pub unconfirmed_weights: usize,
     /// Number of hosts that the endpoint list allows sending requests to.
     pub ready_hosts: usize,
     /// Hosts ejected as outliers.
@@ -179,6 +181,13 @@
         matching.map(|host| host.id().clone()).collect()
     }
 
+    fn unconfirmed_weights(&self) -> usize {
+        let memberships = self.hosts.iter().flat_map(|host| host.memberships.iter());
+        memberships
+            .filter(|membership| membership.is_unconfirmed())
+            .count()
+    }
+
     fn failing_hosts(&self) -> Vec<HostFailures> {
         let failing = self
             .hosts
@@ -250,6 +259,7 @@
     let loads = sources.hosts.iter().filter_map(|host| host.stats.load());
     StatusSnapshot {
         known_hosts: sources.hosts.len(),
+        unconfirmed_weights: sources.unconfirmed_weights(),
         ready_hosts: sources.hosts.iter().filter(is_ready).count(),
         ejected: sources.host_ids_where(|host| host.ejection.is_ejected()),
         on_probation: sources.host_ids_where(|host| host.ejection.is_on_probation()),
--- a/crates/platform/src/status_log.rs
+++ b/crates/platform/src/status_log.rs
@@ -72,7 +72,9 @@
 
 fn log_status(status: &StatusSnapshot) {
     info!(
+        known_hosts = status.known_hosts,
         ready_hosts = status.ready_hosts,
+        unconfirmed_weights = status.unconfirmed_weights,
         ejected = join_names(&status.ejected),
         on_probation = join_names(&status.on_probation),
         weight_reduced = join_names(&status.weight_reduced),
