Restore a dropped host whose removal from unused tables may not have been applied

Cause: drop_expired_hosts takes a removed host that was silent for 30 s out of unused tables and drops it in the same round. When the result of that call is unknown or rejected, or the relay stops at an earlier update, mark_unconfirmed finds no host and does nothing: the lines stay at the relay and nothing knows of them any more. The same happens to any update of a dropped host whose result comes a round late, as it does when a batch takes several calls.

Change: mark_unconfirmed restores the host as a removed one. What the update says is all that is needed: the table and the host. It works for each result and however late it comes, and callers that report no results (simulator, daemon) need none. A restored host is in no table by placement, counts as drained, so that answers to its last requests do not bring it back where removals are advisory, and is dropped again once its removal has been sent and not been lost.

Tests, each seen to fail: removals from unused tables after unknown, rejected and partly applied calls; a result that comes a round late; the simulated relay with four faults ("host-0 is still used by ProxyId(0)"); a dropped host that answers (fails without the line that counts it as drained).

--- a/crates/controller/src/controller/inputs.rs
+++ b/crates/controller/src/controller/inputs.rs
@@ -166,9 +166,9 @@
     fn mark_unconfirmed(&mut self, update: &Decision, bind_not_before: Time) {
         match update {
             Decision::SetWeight { table, host, .. } => {
-                if let Some(host) = self.hosts.get_mut(host) {
-                    host.memberships.entry(table.0 as usize).mark_unconfirmed();
-                }
+                // The host may have been dropped since then, while its table still has it.
+                let host = self.hosts.get_or_restore(host);
+                host.memberships.entry(table.0 as usize).mark_unconfirmed();
             }
             Decision::BindProxy { proxy, .. } => self.schedule_rebind(*proxy, bind_not_before),
             Decision::SetAdmissionRate { table, class, .. } => {
--- a/crates/controller/src/host.rs
+++ b/crates/controller/src/host.rs
@@ -211,6 +211,16 @@
         }
     }
 
+    /// Returns the host with this ID. A host that was dropped is restored as a removed one, and stays out of use until the
+    /// endpoint list names it again.
+    pub(crate) fn get_or_restore(&mut self, id: &HostId) -> &mut Host {
+        let is_restored = !self.indexes.contains_key(id);
+        let host = self.entry(id);
+        // It was out of use when it was dropped. A removal after a drain is final, whatever reports say later.
+        host.drain_listed |= is_restored;
+        host
+    }
+
     fn entry(&mut self, id: &HostId) -> &mut Host {
         let next = self.hosts.len();
         let index = *self.indexes.entry(id.clone()).or_insert(next);
@@ -228,7 +238,8 @@
     }
 
     /// Drops expired hosts that are in no table. Host names change with each release, so memory would otherwise grow
-    /// without bound.
+    /// without bound. A host whose last update turns out not to have been applied is restored, see
+    /// [`get_or_restore`](Self::get_or_restore).
     pub(crate) fn drop_expired(&mut self, now: Time) {
         let count_before = self.hosts.len();
         self.hosts
--- a/crates/controller/tests/decisions/update_results.rs
+++ b/crates/controller/tests/decisions/update_results.rs
@@ -2,14 +2,16 @@
 
 use crate::common::{SECOND, deployment_config, endpoint, host, ms};
 use pondarch_controller::{
-    AckId, Controller, Decision, DeploymentConfig, EndpointList, EndpointState, JoiningProxy,
-    ProxyId, Time, UpdateResult, ZoneId,
+    AckId, AttemptOutcomes, Controller, Decision, DeploymentConfig, EndpointList, EndpointState,
+    JoiningProxy, ProxyId, Time, UpdateResult, ZoneId,
 };
 
 const PROXIES: u16 = 200;
 const HOSTS: usize = 160;
 /// Time between two calls to the relay.
 const STEP_MS: u64 = 250;
+/// Time after which a removed host without reports is no longer known.
+const EXPIRY_MS: u64 = 31_000;
 
 fn at(millis: u64) -> Time {
     Time::from_micros(100 * SECOND) + ms(millis)
@@ -20,6 +22,7 @@
     let config = DeploymentConfig {
         update_rate: 2_000.0,
         max_queued_lines,
+        removal_is_advisory: true,
         ..deployment_config(PROXIES.into())
     };
     let mut controller = Controller::new(config, 7, at(0));
@@ -30,18 +33,20 @@
         endpoints: endpoints.collect(),
     };
     controller.apply_endpoint_list(at(0), list);
-    for n in 0..PROXIES {
-        let joining = JoiningProxy {
-            id: ProxyId(n),
-            zone: ZoneId(n % 4),
-            newly_started: true,
-            usual_rate: 2.0,
-        };
-        controller.proxy_joined(at(0), joining);
-    }
+    (0..PROXIES).for_each(|n| join(&mut controller, 0, n));
     controller
 }
 
+fn join(controller: &mut Controller, millis: u64, n: u16) {
+    let joining = JoiningProxy {
+        id: ProxyId(n),
+        zone: ZoneId(n % 4),
+        newly_started: true,
+        usual_rate: 2.0,
+    };
+    controller.proxy_joined(at(millis), joining);
+}
+
 /// Returns the pending decisions except for timers.
 fn updates_at(controller: &mut Controller, millis: u64) -> Vec<Decision> {
     let decisions = std::iter::from_fn(|| controller.next_decision(at(millis)));
@@ -115,6 +120,86 @@
     assert!(*last <= 22_000, "sent at {drained_at:?} ms");
 }
 
+/// Hosts were forgotten before the result of their removal from unused tables was known, so that a removal that was not
+/// applied was never sent again.
+#[test]
+fn a_removal_from_unused_tables_is_sent_again_unless_it_was_applied() {
+    for (result, first_repeated) in [
+        (UpdateResult::Unknown, Some(0)),
+        (UpdateResult::Rejected, Some(0)),
+        // The update that stopped the call cannot be applied and is not sent again.
+        (UpdateResult::StoppedAt(2), Some(3)),
+        (UpdateResult::Applied, None),
+    ] {
+        let mut controller = controller_with_removed_hosts();
+        let removals = updates_of_timer(&mut controller, EXPIRY_MS);
+        assert!(removals.len() > 3, "the hosts were in no table");
+        controller.on_update_result(at(EXPIRY_MS), &removals, result);
+        let sent_again = updates_of_timer(&mut controller, EXPIRY_MS + STEP_MS);
+        let expected = first_repeated.map_or(&[][..], |first| &removals[first..]);
+        assert_eq!(sent_again, expected, "{result:?}");
+    }
+}
+
+/// A batch that is too large for one call is sent in several, between which there may be another round of decisions.
+#[test]
+fn a_removal_is_sent_again_although_its_result_comes_a_round_late() {
+    let mut controller = controller_with_removed_hosts();
+    let removals = updates_of_timer(&mut controller, EXPIRY_MS);
+    let in_between = updates_of_timer(&mut controller, EXPIRY_MS + STEP_MS);
+    assert_eq!(in_between, [], "nothing is known to be lost yet");
+    controller.on_update_result(at(EXPIRY_MS + STEP_MS), &removals, UpdateResult::Unknown);
+    let sent_again = updates_of_timer(&mut controller, EXPIRY_MS + 2 * STEP_MS);
+    assert_eq!(sent_again, removals);
+}
+
+/// A host that is still in a table answers the proxies that use it. This must not bring it back into use.
+#[test]
+fn a_removed_host_stays_out_of_use_although_it_answers_after_a_lost_removal() {
+    let mut controller = controller_with_removed_hosts();
+    let removals = updates_of_timer(&mut controller, EXPIRY_MS);
+    controller.on_update_result(at(EXPIRY_MS), &removals, UpdateResult::Unknown);
+    let answered = AttemptOutcomes {
+        attempts: 20.0,
+        failures: 0.0,
+        mean_latency: ms(200),
+        period: ms(1_000),
+        load: None,
+    };
+    (0..4).for_each(|n| controller.record_outcomes(at(EXPIRY_MS), &host(n), answered));
+    (0..PROXIES).for_each(|n| join(&mut controller, EXPIRY_MS + STEP_MS, n));
+    let updates = updates_of_timer(&mut controller, EXPIRY_MS + STEP_MS);
+    for removal in &removals {
+        assert!(updates.contains(removal), "{removal:?} is not sent again");
+    }
+    let is_added = |update: &&Decision| matches!(update, Decision::SetWeight { host: added, weight: Some(_), .. } if (0..4).any(|n| *added == host(n)));
+    assert_eq!(updates.iter().find(is_added), None);
+}
+
+/// Returns a controller whose proxies have left and with some hosts that were removed since then. By [`EXPIRY_MS`] there
+/// has been no report of these hosts for longer than removed hosts are known.
+fn controller_with_removed_hosts() -> Controller {
+    let mut controller = controller_with_proxies(6_000.0);
+    let updates = updates_of_timer(&mut controller, 0);
+    controller.on_update_result(at(0), &updates, UpdateResult::Applied);
+    (0..PROXIES).for_each(|n| controller.proxy_left(at(STEP_MS), ProxyId(n)));
+    assert_eq!(updates_of_timer(&mut controller, STEP_MS), []);
+    let removed = (0..4).map(|n| endpoint(n, EndpointState::Removed, Time::default()));
+    let list = EndpointList {
+        generation: 2,
+        complete: false,
+        endpoints: removed.collect(),
+    };
+    controller.apply_endpoint_list(at(EXPIRY_MS), list);
+    controller
+}
+
+/// Returns the updates of the round of decisions that a timer starts.
+fn updates_of_timer(controller: &mut Controller, millis: u64) -> Vec<Decision> {
+    controller.on_timer(at(millis));
+    updates_at(controller, millis)
+}
+
 fn requested_acks(updates: &[Decision]) -> impl Iterator<Item = AckId> {
     updates.iter().filter_map(|update| match update {
         Decision::RequestAck(ack) => Some(*ack),
--- a/crates/platform-core/tests/unreliable_relay.rs
+++ b/crates/platform-core/tests/unreliable_relay.rs
@@ -9,6 +9,9 @@
 use proptest::prelude::*;
 use simulated_fleet::{GRACE_PERIOD, RelayFault, SimulatedFleet};
 
+/// Time without a report after which a removed host may be forgotten.
+const FORGOTTEN_AFTER_MILLIS: u64 = 31_000;
+
 #[test]
 fn proxies_are_bound_and_a_drain_is_sent_promptly() {
     let mut fleet = SimulatedFleet::new(20, 16);
@@ -94,6 +97,34 @@
     }
 }
 
+/// Hosts were forgotten before the result of the call that took them out of unused tables was known. When the call was
+/// lost, proxies that were bound to these tables later used the removed hosts for good.
+#[test]
+fn removed_hosts_leave_unused_tables_although_the_call_was_not_applied() {
+    for fault in [
+        RelayFault::CallLost,
+        RelayFault::Busy,
+        RelayFault::AnswerLost,
+        RelayFault::MalformedAnswer,
+    ] {
+        let mut fleet = SimulatedFleet::new(20, 16);
+        (0..16).for_each(|n| fleet.join(n, true));
+        fleet.run(2_000);
+        (0..16).for_each(|n| fleet.leave(n));
+        fleet.run(FORGOTTEN_AFTER_MILLIS);
+        fleet.fault = fault;
+        (0..4).for_each(|n| fleet.remove(n));
+        fleet.run(3_000);
+        fleet.fault = RelayFault::None;
+        fleet.run(1_000);
+        (0..16).for_each(|n| fleet.join(n, false));
+        fleet.run(GRACE_PERIOD.micros() / 1_000 + 500);
+        fleet.assert_invariants();
+        let known = fleet.controller.status().known_hosts;
+        assert_eq!(known, 16, "{fault:?}: removed hosts are still known");
+    }
+}
+
 /// The relay stops a call at the update of a proxy that has left. A drain after that update must not wait for the
 /// proxy's membership event.
 #[test]
