--- a/crates/platform-core/tests/simulated_fleet/mod.rs
+++ b/crates/platform-core/tests/simulated_fleet/mod.rs
@@ -7,7 +7,7 @@
 
 use hosts::ListedHost;
 use pondarch_controller::{AckId, EndpointState, ProxyId, Time};
-use pondarch_platform_core::{Input, Output, PlatformController};
+use pondarch_platform_core::{CallOutcome, Input, Output, PlatformController};
 use pondarch_platform_protocol::config::{self, EnvironmentDefaults, PlatformConfig};
 use pondarch_platform_protocol::relay::MembershipEvent;
 use serde_json::json;
@@ -43,6 +43,13 @@
     started: u64,
 }
 
+/// A call that the relay has handled, and when its outcome becomes known to the controller.
+struct PendingOutcome {
+    known_at: u64,
+    call: u64,
+    outcome: CallOutcome,
+}
+
 /// A table and the id of a host in it.
 type TableMember = (u16, String);
 
@@ -51,6 +58,8 @@
     /// The current time in microseconds.
     pub now: u64,
     pub fault: RelayFault,
+    /// Time until the outcome of a call is known to the controller; zero means at once.
+    pub outcome_delay_micros: u64,
     pub generation: u64,
     pub calls: usize,
     pub partially_applied_calls: usize,
@@ -64,6 +73,8 @@
     /// The earliest start of the invariants' grace periods.
     grace_start: u64,
     without_host_since: BTreeMap<ProxyId, u64>,
+    /// The call whose outcome is not known yet.
+    pending_outcome: Option<PendingOutcome>,
     /// Acknowledgements that were requested but not sent yet.
     pending_acks: Vec<(ProxyId, AckId)>,
 }
@@ -114,6 +125,7 @@
             controller: PlatformController::new(config, Time::from_micros(now)),
             now,
             fault: RelayFault::None,
+            outcome_delay_micros: 0,
             generation: 0,
             calls: 0,
             partially_applied_calls: 0,
@@ -127,6 +139,7 @@
             messages: BTreeMap::new(),
             grace_start: now,
             without_host_since: BTreeMap::new(),
+            pending_outcome: None,
             pending_acks: Vec::new(),
         };
         fleet.send_complete_list();
@@ -159,6 +172,12 @@
             {
                 self.handle(Input::Timer);
             }
+            let known = self
+                .pending_outcome
+                .take_if(|pending| pending.known_at <= self.now);
+            if let Some(PendingOutcome { call, outcome, .. }) = known {
+                self.handle(Input::CallEnded { call, outcome });
+            }
             for (proxy, ack) in std::mem::take(&mut self.pending_acks) {
                 self.handle(Input::Membership(MembershipEvent::Applied { proxy, ack }));
             }
@@ -177,7 +196,16 @@
                 Output::Call { call, line } => {
                     assert!(line.len() <= 60_000, "{} bytes in a call", line.len());
                     let outcome = self.apply_call(&line);
-                    self.handle(Input::CallEnded { call, outcome });
+                    if self.outcome_delay_micros == 0 {
+                        self.handle(Input::CallEnded { call, outcome });
+                    } else {
+                        assert!(self.pending_outcome.is_none(), "two calls are in flight");
+                        self.pending_outcome = Some(PendingOutcome {
+                            known_at: self.now + self.outcome_delay_micros,
+                            call,
+                            outcome,
+                        });
+                    }
                 }
                 Output::CheckHealth { host, .. } => self.handle(Input::HealthChecked {
                     host,
--- a/crates/platform-core/tests/simulated_fleet/relay.rs
+++ b/crates/platform-core/tests/simulated_fleet/relay.rs
@@ -85,6 +85,14 @@
         self.weights.len()
     }
 
+    /// Returns the number of hosts in all tables of the relay that are not listed, counted once per table.
+    pub(crate) fn unlisted_memberships(&self) -> usize {
+        let members = self.weights.keys();
+        members
+            .filter(|(_, host)| !self.listed.contains_key(host))
+            .count()
+    }
+
     /// Returns the largest weight of a host in any table.
     pub(crate) fn largest_weight_of(&self, number: usize) -> f64 {
         let host = host_name(number);
--- a/crates/platform-core/tests/unreliable_relay.rs
+++ b/crates/platform-core/tests/unreliable_relay.rs
@@ -125,6 +125,35 @@
     }
 }
 
+/// The removal of many hosts takes several calls, and a round of decisions falls between the calls of one batch. Hosts
+/// that this round drops were forgotten although the rest of their updates was lost.
+#[test]
+fn removed_hosts_leave_unused_tables_although_one_of_several_calls_was_lost() {
+    let mut fleet = SimulatedFleet::new(600, 1_500);
+    (0..1_500).for_each(|n| fleet.join(n, true));
+    fleet.run(3_000);
+    (0..1_500).for_each(|n| fleet.leave(n));
+    fleet.run(FORGOTTEN_AFTER_MILLIS);
+    let calls_before = fleet.calls;
+    fleet.outcome_delay_micros = 300_000;
+    fleet.listed.retain(|id, _| id.ends_with('7'));
+    fleet.send_complete_list();
+    while fleet.calls == calls_before {
+        fleet.run(50);
+    }
+    fleet.fault = RelayFault::CallLost;
+    while fleet.calls == calls_before + 1 {
+        fleet.run(50);
+    }
+    fleet.fault = RelayFault::None;
+    assert!(
+        fleet.unlisted_memberships() > 0,
+        "the last call had no effect to lose"
+    );
+    fleet.run(2_000);
+    assert_eq!(fleet.unlisted_memberships(), 0);
+}
+
 /// The relay stops a call at the update of a proxy that has left. A drain after that update must not wait for the
 /// proxy's membership event.
 #[test]
@@ -292,6 +321,9 @@
     InjectFault(RelayFault),
     SendCompleteList,
     Wait(u64),
+    JoinAll,
+    LeaveAll,
+    RemoveFirst(usize),
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -317,6 +349,17 @@
     ]
 }
 
+/// Steps by which hosts are dropped while tables that no proxy uses still have them.
+fn step_with_dropped_hosts() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => step(),
+        2 => Just(Step::JoinAll),
+        2 => Just(Step::LeaveAll),
+        2 => (1..12usize).prop_map(Step::RemoveFirst),
+        2 => Just(Step::Wait(FORGOTTEN_AFTER_MILLIS)),
+    ]
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 96, failure_persistence: None, ..ProptestConfig::default() })]
 
@@ -333,6 +376,25 @@
         fleet.assert_invariants();
     }
 
+    /// Proxies, hosts and faults come and go while calls are in flight, and hosts are dropped before their results. In the
+    /// end no host is known any more that is not listed.
+    #[test]
+    fn invariants_hold_while_hosts_are_dropped(
+        steps in prop::collection::vec(step_with_dropped_hosts(), 1..60),
+        outcome_delay_millis in prop::sample::select(vec![0, 50, 300]),
+    ) {
+        let mut fleet = SimulatedFleet::with_message_cap(20, 16, 0);
+        fleet.outcome_delay_micros = outcome_delay_millis * 1_000;
+        for step in &steps {
+            run_step(&mut fleet, step);
+            fleet.assert_invariants();
+        }
+        fleet.run(FORGOTTEN_AFTER_MILLIS + 2_000);
+        fleet.assert_invariants();
+        let known = fleet.controller.status().known_hosts;
+        prop_assert_eq!(known, fleet.listed.len(), "removed hosts are still known");
+    }
+
     #[test]
     fn the_message_cap_is_kept_under_any_faults(steps in prop::collection::vec(step(), 1..40)) {
         let mut fleet = SimulatedFleet::new(20, 16);
@@ -369,6 +431,9 @@
         }
         Step::SendCompleteList => fleet.send_complete_list(),
         Step::Wait(millis) => fleet.run(millis),
+        Step::JoinAll => (0..16).for_each(|n| fleet.join(n, false)),
+        Step::LeaveAll => (0..16).for_each(|n| fleet.leave(n)),
+        Step::RemoveFirst(count) => (0..count).for_each(|n| fleet.remove(n)),
     }
 }
 
