Split on_update_result by result

on_update_result computed two positions in the batch for all four results at once and then asked again which result it was. Now each result is one arm; a batch that stopped has its own function.

--- a/crates/controller/src/controller/inputs.rs
+++ b/crates/controller/src/controller/inputs.rs
@@ -139,25 +139,33 @@
         if result == UpdateResult::Rejected {
             self.remove_messages(updates);
         }
-        let (applied, rejected) = match result {
-            UpdateResult::Applied => (updates.len(), None),
-            UpdateResult::StoppedAt(applied) => (applied.min(updates.len()), updates.get(applied)),
-            UpdateResult::Rejected | UpdateResult::Unknown => (0, None),
+        match result {
+            UpdateResult::Applied => self.inputs_pending |= !updates.is_empty(),
+            UpdateResult::StoppedAt(applied) => self.on_updates_stopped(now, updates, applied),
+            UpdateResult::Rejected | UpdateResult::Unknown => {
+                self.mark_all_unconfirmed(updates, now + EXPEDITED_INTERVAL);
+            }
+        }
+    }
+
+    /// Handles a batch of which the first `applied` updates were applied and the next one was rejected.
+    fn on_updates_stopped(&mut self, now: Time, updates: &[Decision], applied: usize) {
+        self.inputs_pending |= !updates.is_empty();
+        let not_applied = updates.get(applied..).unwrap_or_default();
+        let Some((rejected, unprocessed)) = not_applied.split_first() else {
+            return;
         };
-        let unconfirmed = &updates[applied + usize::from(rejected.is_some())..];
-        let was_processed = applied > 0 || rejected.is_some();
-        self.inputs_pending |= was_processed;
-        self.expedite |= was_processed && !unconfirmed.is_empty();
         // A proxy that cannot be bound has most likely left, which a membership event will report.
-        if let Some(Decision::BindProxy { proxy, .. }) = rejected {
+        if let Decision::BindProxy { proxy, .. } = rejected {
             self.schedule_rebind(*proxy, now + EJECTION_TIME);
         }
-        let bind_not_before = if was_processed {
-            now
-        } else {
-            now + EXPEDITED_INTERVAL
-        };
-        for update in unconfirmed {
+        self.expedite |= !unprocessed.is_empty();
+        self.mark_all_unconfirmed(unprocessed, now);
+    }
+
+    /// Records that updates may not have been applied. Proxies are bound again at `bind_not_before` or later.
+    fn mark_all_unconfirmed(&mut self, updates: &[Decision], bind_not_before: Time) {
+        for update in updates {
             self.mark_unconfirmed(update, bind_not_before);
         }
     }
