Expected attempts in one place; detect_outliers splits off why a host is ejected

status.rs and outlier_detection.rs summed the attempts expected at a host by the same lines; Memberships does it for both now. detect_outliers found the cause of an ejection between the steps that carry it out; FleetView::observe returns it.

--- a/crates/controller/src/memberships.rs
+++ b/crates/controller/src/memberships.rs
@@ -88,6 +88,16 @@
         self.0.is_empty()
     }
 
+    /// Returns the attempts per second expected at the host by the weights that were sent, where `attempts_per_weight`
+    /// has those per unit of weight for each table.
+    pub(crate) fn expected_attempts(&self, attempts_per_weight: &[f64]) -> f64 {
+        let attempts = self
+            .0
+            .iter()
+            .map(|membership| membership.sent_weight * attempts_per_weight[membership.table]);
+        attempts.sum()
+    }
+
     /// Returns whether the last update of this table included the host.
     pub(crate) fn is_sent_in(&self, table: usize) -> bool {
         self.0
--- a/crates/controller/src/outlier_detection.rs
+++ b/crates/controller/src/outlier_detection.rs
@@ -123,14 +123,20 @@
 }
 
 impl FleetView<'_> {
-    /// Returns the attempts per second expected at a host, by this controller's bindings, weights and admission.
-    fn expected_attempts(&self, host: &Host) -> f64 {
-        host.memberships
-            .iter()
-            .map(|membership| {
-                membership.sent_weight() * self.attempts_per_weight[membership.table()]
-            })
-            .sum()
+    /// Returns why the host should be ejected, or `None` if it should not be. Records whether it is in use.
+    fn observe(&self, host: &mut Host, max_failure_ratio: f64) -> Option<EjectionCause> {
+        let expected_attempts = host
+            .memberships
+            .expected_attempts(&self.attempts_per_weight);
+        if expected_attempts <= 0.0 {
+            host.ejection.serving_since = self.now;
+        }
+        let failure_ratio = host.stats.failure_ratio();
+        if failure_ratio.is_some_and(|ratio| ratio > max_failure_ratio) {
+            return Some(EjectionCause::Failures);
+        }
+        let is_silent = self.is_silent(host, expected_attempts);
+        is_silent.then_some(EjectionCause::Silence)
     }
 
     /// Returns whether the host has no reports while other hosts have. It hangs or has vanished, which shows this way
@@ -215,18 +221,7 @@
         let mut budget = EjectionBudget::new(hosts, view);
         let mut to_check = Vec::new();
         for host in hosts.iter_mut() {
-            let expected_attempts = view.expected_attempts(host);
-            let is_in_use = expected_attempts > 0.0;
-            if !is_in_use {
-                host.ejection.serving_since = view.now;
-            }
-            let is_silent = view.is_silent(host, expected_attempts);
-            let failure_ratio = host.stats.failure_ratio();
-            let cause = if failure_ratio.is_some_and(|ratio| ratio > max_failure_ratio) {
-                Some(EjectionCause::Failures)
-            } else {
-                is_silent.then_some(EjectionCause::Silence)
-            };
+            let cause = view.observe(host, max_failure_ratio);
             if let Some(until) = host.ejection.ejected_until {
                 if self.end_ejection(host, until, view.now, &budget) {
                     to_check.push(host.id().clone());
--- a/crates/controller/src/status.rs
+++ b/crates/controller/src/status.rs
@@ -219,14 +219,9 @@
         status
     }
 
-    /// Returns the attempts per second expected at a host, by the weights that were sent.
     fn expected_attempts(&self, host: &Host) -> f64 {
-        let memberships = host.memberships.iter();
-        memberships
-            .map(|membership| {
-                membership.sent_weight() * self.attempts_per_weight[membership.table()]
-            })
-            .sum()
+        host.memberships
+            .expected_attempts(&self.attempts_per_weight)
     }
 
     /// Returns the ready hosts that are warming up.
