--- a/crates/platform-core/tests/simulated_fleet/invariants.rs
+++ b/crates/platform-core/tests/simulated_fleet/invariants.rs
@@ -8,12 +8,13 @@
 
 impl SimulatedFleet {
     fn weights_of(&self, proxy: ProxyId) -> Vec<(&String, f64)> {
-        let Some(&table) = self.bindings.get(&proxy) else {
+        let Some(bindings) = self.bindings.get(&proxy) else {
             return Vec::new();
         };
+        let is_used = |table: u16| bindings.values().any(|used| *used == table);
         self.weights
             .iter()
-            .filter(|((member_of, _), _)| *member_of == table)
+            .filter(|((member_of, _), _)| is_used(*member_of))
             .map(|((_, host), weight)| (host, *weight))
             .collect()
     }
--- a/crates/platform-core/tests/simulated_fleet/mod.rs
+++ b/crates/platform-core/tests/simulated_fleet/mod.rs
@@ -50,6 +50,9 @@
     outcome: CallOutcome,
 }
 
+/// The table of each set of request classes that a proxy is bound with, by the names of the classes.
+type Bindings = BTreeMap<Vec<String>, u16>;
+
 /// A table and the id of a host in it.
 type TableMember = (u16, String);
 
@@ -63,7 +66,7 @@
     pub generation: u64,
     pub calls: usize,
     pub partially_applied_calls: usize,
-    pub bindings: BTreeMap<ProxyId, u16>,
+    pub bindings: BTreeMap<ProxyId, Bindings>,
     pub listed: BTreeMap<String, HostState>,
     ever_listed: BTreeMap<String, ListedHost>,
     joined: BTreeMap<ProxyId, u64>,
@@ -83,7 +86,7 @@
     format!("host-{number}")
 }
 
-fn configuration(proxies: u64, message_cap: usize) -> PlatformConfig {
+fn configuration(proxies: u64, message_cap: usize, zone_local_class: bool) -> PlatformConfig {
     let class =
         |name: &str, aim: u64, worth: f64| json!({"name": name, "aim": aim, "worth": worth});
     let config = json!({
@@ -97,7 +100,8 @@
             "obligations": {"cold": SLOW_START_MICROS, "startCapacity": 0.2, "askWithin": 10_000_000},
             "familyInfo": {"proxies": proxies, "admission": "share", "baseMode": 0, "channelRate": 9_800.0,
                 "mostWaiting": 9_800.0, "perMessage": 3.0, "updateCap": message_cap,
-                "updateWindow": MESSAGE_WINDOW_MICROS, "reportEvery": 1_000_000},
+                "updateWindow": MESSAGE_WINDOW_MICROS, "reportEvery": 1_000_000,
+                "classOwnZone": [zone_local_class, false]},
         },
     });
     let defaults = EnvironmentDefaults::default();
@@ -115,8 +119,20 @@
         proxies: u64,
         message_cap: usize,
     ) -> SimulatedFleet {
+        SimulatedFleet::with_configuration(hosts, configuration(proxies, message_cap, false))
+    }
+
+    /// Creates a fleet without a message cap in which a request class may be zone-local.
+    pub(crate) fn with_zone_local_class(
+        hosts: usize,
+        proxies: u64,
+        zone_local_class: bool,
+    ) -> SimulatedFleet {
+        SimulatedFleet::with_configuration(hosts, configuration(proxies, 0, zone_local_class))
+    }
+
+    fn with_configuration(hosts: usize, config: PlatformConfig) -> SimulatedFleet {
         let now = 1_000_000_000;
-        let config = configuration(proxies, message_cap);
         let ready = HostState {
             state: EndpointState::Ready,
             started: 0,
--- a/crates/platform-core/tests/simulated_fleet/relay.rs
+++ b/crates/platform-core/tests/simulated_fleet/relay.rs
@@ -63,7 +63,10 @@
                 if !self.joined.contains_key(&proxy) {
                     return false;
                 }
-                self.bindings.insert(proxy, table);
+                let classes = update["routes"].as_array().into_iter().flatten();
+                let classes = classes.filter_map(Value::as_str).map(str::to_string);
+                let bindings = self.bindings.entry(proxy).or_default();
+                bindings.insert(classes.collect(), table);
                 reached.insert(proxy);
             }
             Some("admit") => reached.extend(self.proxies_bound_to(table)),
@@ -75,7 +78,7 @@
     fn proxies_bound_to(&self, table: u16) -> Vec<ProxyId> {
         self.bindings
             .iter()
-            .filter(|(_, bound)| **bound == table)
+            .filter(|(_, bindings)| bindings.values().any(|bound| *bound == table))
             .map(|(proxy, _)| *proxy)
             .collect()
     }
--- a/crates/platform-core/tests/unreliable_relay.rs
+++ b/crates/platform-core/tests/unreliable_relay.rs
@@ -382,8 +382,9 @@
     fn invariants_hold_while_hosts_are_dropped(
         steps in prop::collection::vec(step_with_dropped_hosts(), 1..60),
         outcome_delay_millis in prop::sample::select(vec![0, 50, 300]),
+        zone_local_class in any::<bool>(),
     ) {
-        let mut fleet = SimulatedFleet::with_message_cap(20, 16, 0);
+        let mut fleet = SimulatedFleet::with_zone_local_class(20, 16, zone_local_class);
         fleet.outcome_delay_micros = outcome_delay_millis * 1_000;
         for step in &steps {
             run_step(&mut fleet, step);
