--- a/crates/config/src/dns_and_event_log.rs
+++ b/crates/config/src/dns_and_event_log.rs
@@ -1,4 +1,4 @@
-//! Settings of a steward's DNS server and of its event log.
+//! Settings of a controller's DNS server and of its event log.
 
 use crate::units::DurationSetting;
 use pondarch_dns_core::{Lifetime, LifetimeError};
@@ -7,11 +7,11 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-/// The event log, which the steward reads after a restart and which serves replays and inspection.
+/// The event log, which the controller reads after a restart and which serves replays and inspection.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EventLogSettings {
-    /// Directory of the log; no other steward may use it.
+    /// Directory of the log; no other controller may use it.
     #[serde(rename = "folder")]
     pub directory: PathBuf,
     /// Maximum size of a segment, in bytes.
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! - `jsonnet`: evaluates a file to JSON and reads JSON into a type, with errors that name the file and the line or key.
 //! - `units`: durations with a unit, and endpoints.
-//! - `site`, `dns_and_event_log`: settings of a steward.
+//! - `site`, `dns_and_event_log`: settings of a controller.
 //! - `proxy`: settings of a proxy.
 //! - `plan`: a fleet and its demand, for planning.
 //! - `hosts`: the file that lists the hosts.
--- a/crates/config/src/proxy.rs
+++ b/crates/config/src/proxy.rs
@@ -20,13 +20,13 @@
     pub zones: Vec<String>,
     /// Address on which clients connect.
     pub listen: SocketAddr,
-    /// Sockets on which stewards and operators use the runtime API.
+    /// Sockets on which controllers and operators use the runtime API.
     pub runtime_api: Vec<Listener>,
     /// Request classes: a request has the first one that it matches, and gets 404 if it matches none.
     #[serde(rename = "kinds")]
     pub request_classes: Vec<ProxyRequestClass>,
     /// The file that lists the hosts. It is read once, at the start, for the static table, which is used until a
-    /// steward sends one.
+    /// controller sends one.
     pub hosts_file: PathBuf,
     /// Maximum number of hosts of the static table.
     #[serde(rename = "standing_most", default = "default_max_static_hosts")]
@@ -43,7 +43,7 @@
     /// Limits of connections and requests.
     #[serde(default)]
     pub limits: Limits,
-    /// Stewards that accept pushed reports.
+    /// Controllers that accept pushed reports.
     #[serde(rename = "report_to", default)]
     pub report_endpoints: Vec<Endpoint>,
     /// Interval between pushed reports.
--- a/crates/config/src/site.rs
+++ b/crates/config/src/site.rs
@@ -1,4 +1,4 @@
-//! Settings of a steward.
+//! Settings of a controller.
 
 pub use crate::dns_and_event_log::{DnsSettings, EventLogSettings, Secondary};
 use crate::hosts::invalid_name;
@@ -11,20 +11,20 @@
 use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
 
-/// All settings of a steward.
+/// All settings of a controller.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct SiteSettings {
-    /// Name of the steward, which marks the proxies that it has joined.
+    /// Name of the controller, which marks the proxies that it has joined.
     pub name: String,
     /// All zones of the site.
     pub zones: Vec<String>,
     /// All request classes.
     #[serde(rename = "kinds")]
     pub request_classes: Vec<RequestClassSettings>,
-    /// The proxies of this steward.
+    /// The proxies of this controller.
     pub proxies: Vec<ProxyEntry>,
-    /// Number of proxies of all stewards of the site; if absent, that of `proxies`.
+    /// Number of proxies of all controllers of the site; if absent, that of `proxies`.
     #[serde(rename = "proxies_of_site", default)]
     pub site_proxy_count: Option<u64>,
     /// The file that lists the hosts.
@@ -108,7 +108,7 @@
     NotIdempotent,
 }
 
-/// A proxy of the steward.
+/// A proxy of the controller.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ProxyEntry {
@@ -127,7 +127,7 @@
     pub typical_request_rate: f64,
 }
 
-/// Limits of the updates that a steward sends.
+/// Limits of the updates that a controller sends.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct UpdateChannelSettings {
@@ -598,7 +598,7 @@
     }
 }
 
-/// Reads and checks the settings of a steward. Relative paths in them start at the directory of the file.
+/// Reads and checks the settings of a controller. Relative paths in them start at the directory of the file.
 ///
 /// # Errors
 ///
