--- a/review/6/case-2.rs
+++ b/review/6/case-2.rs
@@ -83,6 +83,8 @@
             if !platform.wait_ready(listen) {
                 case.finish(2, "the steward was not ready again");
             }
+            // "dials again within 0.13 to 2.3 s of noticing"
+            sleep_ms(200);
             join_all();
         }
         sleep_ms(WAVE_MS / 2);
