Requests nobody counted before a proxy's first report no longer lower the demand

Cause: ProxyRegistry::decay_rates let all rates decay by the time since the controller's start as soon as the first report was there. No report covers that time, so it counted as time without requests. The admitted fraction is the admitted rate over the demand, so too much was admitted.

Change: a proxy's rates decay from the start of its first report on. This covers the related path too: proxies that join a controller that has been without reports for a while.

Test: admission::time_before_the_first_report_does_not_lower_the_demand fails before (53.2 of 80 requests per second) and passes now.

--- a/crates/controller/src/proxy.rs
+++ b/crates/controller/src/proxy.rs
@@ -37,8 +37,8 @@
     /// Requests per second by class.
     rates: Vec<f64>,
     newly_started: bool,
-    /// Whether it has reported any requests; until then, it keeps its usual rate.
-    has_reported: bool,
+    /// Since when its requests are counted: the start of its first report. Until then, it keeps its usual rate.
+    counted_since: Option<Time>,
     table: Option<usize>,
     binding: BindingState,
     /// Earliest time for sending its binding.
@@ -93,8 +93,14 @@
     }
 
     /// Adds requests to its rate. Returns whether they were counted.
-    fn record_requests(&mut self, class: RequestClassId, requests: f64, period: Duration) -> bool {
-        self.has_reported = true;
+    fn record_requests(
+        &mut self,
+        now: Time,
+        class: RequestClassId,
+        requests: f64,
+        period: Duration,
+    ) -> bool {
+        self.counted_since.get_or_insert(now.before(period));
         let Some(rate) = self.rates.get_mut(class.0 as usize) else {
             return false;
         };
@@ -105,8 +111,13 @@
         is_valid
     }
 
-    fn decay_rates(&mut self, factor: f64) {
-        let factor = if self.has_reported { factor } else { 1.0 };
+    /// Decays its rates by the part of the time from `from` to `to` in which its requests were counted.
+    fn decay_rates(&mut self, from: Time, to: Time) {
+        let Some(counted_since) = self.counted_since else {
+            return;
+        };
+        let elapsed = to - from.max(counted_since);
+        let factor = 1.0 - elapsed.sample_weight(RATE_WINDOW);
         for rate in &mut self.rates {
             *rate *= factor;
         }
@@ -177,7 +188,7 @@
             zone: joining.zone,
             rates,
             newly_started: joining.newly_started,
-            has_reported: false,
+            counted_since: None,
             table: None,
             binding: BindingState::Confirmed,
             bind_not_before: now,
@@ -203,19 +214,19 @@
         let Some(proxy) = self.proxies.get_mut(&id) else {
             return;
         };
-        if requests > 0.0 && proxy.record_requests(class, requests, period) {
+        if requests > 0.0 && proxy.record_requests(now, class, requests, period) {
             self.newest_arrivals_at = now;
         }
     }
 
     /// Decays the rates by the time between the latest reports. If there are no reports at all, the rates do not
-    /// change.
+    /// change. A proxy's rates do not decay by time before its first report, in which nobody counted its requests:
+    /// the demand on a controller that had just started would be underestimated, and too much would be admitted.
     pub(crate) fn decay_rates(&mut self) {
-        let elapsed = self.newest_arrivals_at - self.decayed_at;
-        let factor = 1.0 - elapsed.sample_weight(RATE_WINDOW);
-        self.decayed_at = self.decayed_at.max(self.newest_arrivals_at);
+        let decayed_at = self.decayed_at;
+        self.decayed_at = decayed_at.max(self.newest_arrivals_at);
         for proxy in self.proxies.values_mut() {
-            proxy.decay_rates(factor);
+            proxy.decay_rates(decayed_at, self.decayed_at);
         }
     }
 
--- a/crates/controller/src/time.rs
+++ b/crates/controller/src/time.rs
@@ -25,6 +25,12 @@
     pub const fn is_unset(self) -> bool {
         self.0 == 0
     }
+
+    /// Returns the time `duration` before this one, or the clock's origin if that is later.
+    #[must_use]
+    pub(crate) fn before(self, duration: Duration) -> Time {
+        Time(self.0.saturating_sub(duration.micros()))
+    }
 }
 
 impl Add<Duration> for Time {
--- a/crates/controller/tests/decisions/admission.rs
+++ b/crates/controller/tests/decisions/admission.rs
@@ -256,3 +256,34 @@
         "half of the fleet was lost and all requests are admitted"
     );
 }
+
+/// Nobody counts the requests of a proxy before its first report. The time until then used to count as time without
+/// requests: a third of the demand on a controller that had just started was missing, and too much was admitted.
+#[test]
+fn time_before_the_first_report_does_not_lower_the_demand() {
+    let mut fleet = SimulatedFleet::new(deployment_config(16), 12);
+    let join_and_report_once = |fleet: &mut SimulatedFleet| {
+        (0..16).for_each(|n| fleet.join(n, false, 5.0));
+        fleet.run(2_950, |_| {});
+        for n in 0..16 {
+            let now = fleet.time();
+            fleet
+                .controller
+                .record_arrivals(now, ProxyId(n), RequestClassId(0), 5.0, ms(1_000));
+        }
+        fleet.run(500, |_| {});
+        fleet.controller.status().demand
+    };
+    let after_start = join_and_report_once(&mut fleet);
+    assert!(
+        (after_start - 80.0).abs() < 8.0,
+        "the demand of 80 requests per second is estimated at {after_start} after the start"
+    );
+    (0..16).for_each(|n| fleet.leave(n));
+    fleet.run(60_000, |_| {});
+    let after_return = join_and_report_once(&mut fleet);
+    assert!(
+        (after_return - 80.0).abs() < 8.0,
+        "the demand of 80 requests per second is estimated at {after_return} after the return"
+    );
+}
