Each table admits no more than its warming hosts can take

Cause: warming hosts were bounded by their weight alone. A weight is a part of the table; a host that is alone in it gets all of it, and so do cold hosts together where a table has no others.

Evidence: the record shows the host's ramp weight, `order` alone, and level 1 for its table throughout.

Change: table_admission.rs gives each table an admission of its own: that of the fleet, limited so that no warming host is brought more than 1.5 times the fleet's usual load per unit of what it can do now, by all its tables together. It travels with the update that brings the host. A table over its limit by more than a fifth is sent like a hazard, and before a binding to it. The expected attempts per host, for silence and for the log line `warming hosts`, now follow what each table admits and have zone tables too.

--- a/crates/controller/src/admission_control.rs
+++ b/crates/controller/src/admission_control.rs
@@ -37,7 +37,7 @@
 /// Minimum admitted fraction of the class of highest priority.
 const MIN_TOP_FRACTION: f64 = 0.5;
 /// Granularity of admitted fractions.
-const FRACTION_STEP: f64 = 0.05;
+pub(crate) const FRACTION_STEP: f64 = 0.05;
 
 /// State of the fleet that admission control reads.
 pub(crate) struct AdmissionView<'a> {
@@ -178,6 +178,11 @@
         &self.fractions
     }
 
+    /// Returns the indexes of the classes in ascending order of priority.
+    pub(crate) fn lowest_priority_first(&self) -> &[usize] {
+        &self.lowest_priority_first
+    }
+
     /// Returns the overload of the fleet; load is shed above 1.
     pub(crate) fn overload(&self) -> f64 {
         self.overload
@@ -361,7 +366,7 @@
 
 /// Returns the fraction of each class that is left when `excess` requests per second are shed from the classes of lowest
 /// priority first. Of the class of highest priority, at least `min_top_fraction` is left.
-fn shed_lowest_priority_first(
+pub(crate) fn shed_lowest_priority_first(
     rate_by_class: &[f64],
     mut excess: f64,
     lowest_priority_first: &[usize],
--- a/crates/controller/src/assignment.rs
+++ b/crates/controller/src/assignment.rs
@@ -137,13 +137,10 @@
     /// or the queue.
     fn send_unsafe_lines(&mut self, table: usize) -> bool {
         let Some(reason) = self.unsafe_lines_reason(table) else {
+            self.send_excess_admission(table);
             return true;
         };
-        let scope = if self.queue.is_half_full() {
-            UpdateScope::UnsafeAndAddedLines
-        } else {
-            UpdateScope::All
-        };
+        let scope = self.scope_before_binding();
         let lines = self.lines_due(table, scope);
         let messages = self.tables[table].bound_proxies();
         // Admitted like a drain, because a binding waits for it.
@@ -156,6 +153,30 @@
         is_admitted
     }
 
+    /// Reduces what a table admits before a binding to it, if its warming hosts are at risk. A binding does not wait for
+    /// it: a proxy that is not bound is a greater risk.
+    fn send_excess_admission(&mut self, table: usize) {
+        if !self.has_excess_admission(table) || !self.has_token(table) {
+            return;
+        }
+        let scope = self.scope_before_binding();
+        let lines = self.lines_due(table, scope);
+        let messages = self.tables[table].bound_proxies();
+        let reason = UpdateReason::Hazard;
+        if self.queue.admits_update(self.now, reason, lines, messages) {
+            self.send_update(table, reason, scope);
+        }
+    }
+
+    /// Returns which differences an update before a binding includes.
+    fn scope_before_binding(&self) -> UpdateScope {
+        if self.queue.is_half_full() {
+            UpdateScope::UnsafeAndAddedLines
+        } else {
+            UpdateScope::All
+        }
+    }
+
     /// Returns the most urgent reason why lines of a table must not be sent to another proxy as they are, or `None`.
     fn unsafe_lines_reason(&self, table: usize) -> Option<UpdateReason> {
         let reason = |host: &'_ Host| -> Option<UpdateReason> {
@@ -208,6 +229,6 @@
     fn binding_lines(&self, table: usize) -> usize {
         let hosts = self.hosts.iter();
         let members = hosts.filter(|host| host.memberships.is_sent_in(table));
-        members.count() + self.fractions.len() + 1
+        members.count() + self.admissions[table].fractions().len() + 1
     }
 }
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -20,6 +20,7 @@
 use crate::proxy::ProxyRegistry;
 use crate::publishing::UpdatePolicy;
 use crate::status::StatusSnapshot;
+use crate::table_admission::TableAdmission;
 use crate::tables::{TableLayout, TableState, new_tables};
 use crate::time::Time;
 use crate::transitions::{HostTransition, TransitionLog};
@@ -80,6 +81,8 @@
     proxies: ProxyRegistry,
     layout: TableLayout,
     tables: Vec<TableState>,
+    /// What is admitted to each table, as of the current decision round.
+    table_admissions: Vec<TableAdmission>,
     reports: LoadReports,
     outlier_detector: OutlierDetector,
     admission: AdmissionController,
@@ -110,6 +113,7 @@
         let first_ack = AckId(random.u16(..));
         let report_interval = config.report_interval.max(decide::TIMER_INTERVAL);
         let layout = TableLayout::new(&config);
+        let table_count = layout.len();
         Controller {
             partitioned: config.partitioned,
             random,
@@ -119,6 +123,7 @@
             proxies: ProxyRegistry::new(config.request_classes.len(), now),
             tables: new_tables(&layout, &config),
             layout,
+            table_admissions: vec![TableAdmission::default(); table_count],
             reports: LoadReports::new(report_interval),
             outlier_detector: OutlierDetector::new(&config),
             admission: AdmissionController::new(&config, now),
@@ -149,7 +154,7 @@
             queue: &self.queue,
             tables: &self.tables,
             update_policy: &self.update_policy,
-            attempts_per_weight: self.attempts_per_weight(&self.traffic()),
+            attempts_per_weight: self.attempts_per_weight(),
         })
     }
 
--- a/crates/controller/src/controller/decide.rs
+++ b/crates/controller/src/controller/decide.rs
@@ -4,11 +4,14 @@
 use crate::admission_control::{AdmissionController, AdmissionView};
 use crate::assignment::usage_by_table;
 use crate::decision::Decision;
+use crate::endpoint::EndpointState;
+use crate::host::Host;
 use crate::ids::TableId;
 use crate::outlier_detection::FleetView;
 use crate::placement::PlacementView;
 use crate::publishing::{Published, UpdateRound};
 use crate::statistics::EPSILON;
+use crate::table_admission::{TableAdmissionView, table_admissions};
 use crate::time::{DurationExt, Time};
 use crate::weight_reduction::update_weight_reductions;
 use std::time::Duration;
@@ -55,15 +58,14 @@
             return;
         }
         self.update_admission(AdmissionController::refresh_without_evidence, 0.0);
-        if timer_fired || expedite {
-            let traffic = self.traffic();
-            self.detect_outliers(&traffic);
-            self.transitions
-                .observe(&mut self.hosts, &self.host_policy, self.now);
-            self.place_hosts(&traffic);
-            if self.update_round().publish_updates() == Published::BatchFull {
-                self.expedite = true;
-            }
+        let is_round_due = timer_fired || expedite;
+        self.limit_admission();
+        if is_round_due {
+            self.update_placement();
+            self.limit_admission();
+        }
+        if is_round_due && self.update_round().publish_updates() == Published::BatchFull {
+            self.expedite = true;
         }
         self.update_round().bind_proxies();
         self.end_batch(decisions_before);
@@ -100,6 +102,42 @@
         update(&mut self.admission, &view);
     }
 
+    /// Detects outliers and places the hosts.
+    fn update_placement(&mut self) {
+        let traffic = self.traffic();
+        self.detect_outliers();
+        self.transitions
+            .observe(&mut self.hosts, &self.host_policy, self.now);
+        self.place_hosts(&traffic);
+    }
+
+    /// Updates what is admitted to each table.
+    fn limit_admission(&mut self) {
+        self.table_admissions = table_admissions(&TableAdmissionView {
+            now: self.now,
+            layout: &self.layout,
+            policy: &self.host_policy,
+            hosts: &self.hosts,
+            proxies: &self.proxies,
+            fractions: self.admission.fractions(),
+            lowest_priority_first: self.admission.lowest_priority_first(),
+            usual_load: self.usual_load(),
+        });
+    }
+
+    /// Returns the requests per second and unit of weight that the fleet's hosts usually serve: the peak, or an even split
+    /// of the demand before it is known.
+    fn usual_load(&self) -> f64 {
+        let peak = self.admission.peak_per_weight();
+        if peak > 0.0 {
+            return peak;
+        }
+        let is_listed = |host: &&Host| host.state() != EndpointState::Removed;
+        let listed = self.hosts.iter().filter(is_listed);
+        let weight: f64 = listed.map(Host::weight).sum();
+        self.proxies.demand() / weight.max(EPSILON)
+    }
+
     /// Drops hosts that were removed long ago and are in no table in use.
     fn drop_expired_hosts(&mut self) {
         for host in self.hosts.expired_mut(self.now) {
@@ -127,13 +165,13 @@
         }
     }
 
-    fn detect_outliers(&mut self, traffic: &Traffic) {
+    fn detect_outliers(&mut self) {
         let view = FleetView {
             now: self.now,
             policy: &self.host_policy,
             reports: &self.reports,
             update_delay: self.queue.update_delay(self.now),
-            attempts_per_weight: self.attempts_per_weight(traffic),
+            attempts_per_weight: self.attempts_per_weight(),
         };
         let to_check =
             self.outlier_detector
@@ -143,18 +181,18 @@
     }
 
     /// Returns the attempts per second and unit of weight expected in each table, by this controller's bindings and
-    /// admission. Those of zone tables are unknown and count as zero.
-    pub(super) fn attempts_per_weight(&self, traffic: &Traffic) -> Vec<f64> {
+    /// admission.
+    pub(super) fn attempts_per_weight(&self) -> Vec<f64> {
         let mut weights = vec![0.0; self.tables.len()];
         let hosts = self.hosts.iter();
         for membership in hosts.flat_map(|host| host.memberships.iter()) {
             weights[membership.table()] += membership.sent_weight();
         }
-        let mut attempts = vec![0.0; self.tables.len()];
-        for (table, usage) in traffic.usage.iter().enumerate() {
-            attempts[table] = usage * traffic.admitted_fraction / weights[table].max(EPSILON);
-        }
-        attempts
+        let rates = self.table_admissions.iter();
+        rates
+            .zip(weights)
+            .map(|(table, weight)| table.admitted_rate() / weight.max(EPSILON))
+            .collect()
     }
 
     fn place_hosts(&mut self, traffic: &Traffic) {
@@ -177,7 +215,7 @@
             policy: &self.update_policy,
             host_policy: &self.host_policy,
             layout: &self.layout,
-            fractions: self.admission.fractions(),
+            admissions: &self.table_admissions,
             hosts: &mut self.hosts,
             proxies: &mut self.proxies,
             tables: &mut self.tables,
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -30,6 +30,7 @@
 mod slow_start;
 mod statistics;
 mod status;
+mod table_admission;
 mod tables;
 mod time;
 mod transitions;
--- a/crates/controller/src/placement.rs
+++ b/crates/controller/src/placement.rs
@@ -10,6 +10,7 @@
     MAX_SHARED_HOSTS, MAX_TABLES_PER_HOST, MIN_TABLE_HOSTS, Shard, ShardAssignment, ShardDraw,
     table_preference,
 };
+use crate::slow_start::MAX_WARMING_LOAD;
 use crate::statistics::EPSILON;
 use crate::tables::TableLayout;
 use crate::time::Time;
@@ -18,9 +19,6 @@
 pub(crate) const MIN_WARM_ENOUGH_FRACTION: f64 = 0.5;
 /// Relative usage above which a table borrows hosts from other tables.
 const MIN_BORROWING_USAGE: f64 = 1.15;
-/// Maximum load of a warming host per unit of its current capacity, relative to the fleet's usual load per weight. A
-/// host fails at twice its capacity or more.
-const MAX_WARMING_LOAD: f64 = 1.5;
 /// Success ratio of a table below which warming hosts are kept out of it.
 const MIN_SUCCESS_RATIO: f64 = 0.85;
 /// Minimum fraction of warm hosts in a table for keeping warming hosts out of it: fewer warm hosts would certainly be
--- a/crates/controller/src/publishing.rs
+++ b/crates/controller/src/publishing.rs
@@ -10,6 +10,7 @@
 use crate::message_budget::MessageCap;
 use crate::proxy::ProxyRegistry;
 use crate::shards::MIN_TABLE_HOSTS;
+use crate::table_admission::TableAdmission;
 use crate::tables::{SentMessage, TableLayout, TableState};
 use crate::time::Time;
 use crate::update_queue::{UpdateQueue, UpdateReason};
@@ -117,8 +118,8 @@
     pub(crate) policy: &'a UpdatePolicy,
     pub(crate) host_policy: &'a HostPolicy,
     pub(crate) layout: &'a TableLayout,
-    /// Admitted fraction of each class.
-    pub(crate) fractions: &'a [f64],
+    /// What is admitted to each table.
+    pub(crate) admissions: &'a [TableAdmission],
     pub(crate) hosts: &'a mut HostRegistry,
     pub(crate) proxies: &'a mut ProxyRegistry,
     pub(crate) tables: &'a mut [TableState],
@@ -186,15 +187,20 @@
                 update.usable_hosts += usize::from(is_usable && is_sent);
             }
         }
-        for (update, table) in pending.iter_mut().zip(self.tables.iter_mut()) {
+        let tables = self.tables.iter_mut().zip(self.admissions);
+        for (update, (table, admission)) in pending.iter_mut().zip(tables) {
             if !table.is_used() {
                 update.reason = None;
                 continue;
             }
             table.drop_old_messages(self.now, &self.policy.message_cap);
-            if table.changed_fractions(self.fractions) > 0 {
-                update.reason = update.reason.max(Some(UpdateReason::Ordinary));
-            }
+            let admission_reason = if admission.is_exceeded_by(table.sent_fractions()) {
+                Some(UpdateReason::Hazard)
+            } else {
+                let is_changed = table.changed_fractions(admission.fractions()) > 0;
+                is_changed.then_some(UpdateReason::Ordinary)
+            };
+            update.reason = update.reason.max(admission_reason);
             // A table without a usable host is refilled with the urgency of a drain.
             if update.reason.is_some() && update.usable_hosts == 0 {
                 update.reason = Some(UpdateReason::Drain);
@@ -281,17 +287,29 @@
         let hosts = memberships
             .filter(|membership| membership.table() == table && scope.includes(membership))
             .count();
-        match scope {
-            UpdateScope::All => hosts + self.tables[table].changed_fractions(self.fractions),
-            UpdateScope::UnsafeLines | UpdateScope::UnsafeAndAddedLines => hosts,
+        if self.sends_admission_rates(table, scope) {
+            hosts + self.tables[table].changed_fractions(self.admissions[table].fractions())
+        } else {
+            hosts
         }
     }
 
+    /// Returns whether an update of a table includes its admission rates.
+    fn sends_admission_rates(&self, table: usize, scope: UpdateScope) -> bool {
+        scope == UpdateScope::All || self.has_excess_admission(table)
+    }
+
+    /// Returns whether the table's proxies admit so much that its warming hosts are at risk.
+    pub(crate) fn has_excess_admission(&self, table: usize) -> bool {
+        self.admissions[table].is_exceeded_by(self.tables[table].sent_fractions())
+    }
+
     /// Sends the differences of one table that are in scope to all its proxies.
     pub(crate) fn send_update(&mut self, table: usize, reason: UpdateReason, scope: UpdateScope) {
         let decisions_before = self.decisions.len();
+        let sends_admission_rates = self.sends_admission_rates(table, scope);
         self.send_weights(table, scope);
-        if scope == UpdateScope::All {
+        if sends_admission_rates {
             self.send_admission_rates(table);
         }
         self.tables[table].clear_pending();
@@ -330,7 +348,7 @@
     }
 
     fn send_admission_rates(&mut self, table: usize) {
-        for (class, &fraction) in self.fractions.iter().enumerate() {
+        for (class, &fraction) in self.admissions[table].fractions().iter().enumerate() {
             if !self.tables[table].mark_fraction_sent(class, fraction) {
                 continue;
             }
--- a/crates/controller/src/status.rs
+++ b/crates/controller/src/status.rs
@@ -61,7 +61,7 @@
     pub host: HostId,
     /// Fraction of its capacity that it has at least.
     pub warm_fraction: f64,
-    /// Expected requests per second by the weights that were sent, excluding those of zone tables.
+    /// Expected requests per second by the weights that were sent and what is admitted to their tables.
     pub requests_per_s: f64,
     /// Expected requests per unit of its current capacity, relative to the fleet's mean (1 means equal load).
     pub relative_load: f64,
--- a/crates/controller/src/tables.rs
+++ b/crates/controller/src/tables.rs
@@ -3,6 +3,7 @@
 use crate::config::{DeploymentConfig, RetryPolicy};
 use crate::ids::{RequestClassId, ZoneId};
 use crate::message_budget::MessageCap;
+use crate::proxy::Proxy;
 use crate::status::LineCounts;
 use crate::time::Time;
 use crate::update_queue::UpdateReason;
@@ -52,7 +53,7 @@
         self.zone_tables > 0
     }
 
-    fn len(&self) -> usize {
+    pub(crate) fn len(&self) -> usize {
         self.shared_tables + self.zone_tables
     }
 
@@ -63,6 +64,17 @@
         (table < self.len()).then_some(table)
     }
 
+    /// Returns the table that a proxy's requests of a class use, or `None` if it is not bound to it yet. Proxies get the
+    /// table of their zone with their shared table, so those that are not bound yet count there already.
+    pub(crate) fn table_of_class(&self, class: usize, proxy: &Proxy) -> Option<usize> {
+        let class = RequestClassId(class as u8);
+        if self.has_zone_tables() && self.zone_local_classes.contains(&class) {
+            self.zone_table(proxy.zone()).or(proxy.table())
+        } else {
+            proxy.table()
+        }
+    }
+
     /// Returns all tables of a proxy of this zone that is bound to this shared table.
     pub(crate) fn tables_of(
         &self,
@@ -230,6 +242,11 @@
         self.cap_holds.safety_held_since = None;
     }
 
+    /// Returns the last sent admitted fraction of each class; `None` if not sent or unconfirmed.
+    pub(crate) fn sent_fractions(&self) -> &[Option<f64>] {
+        &self.sent_fractions
+    }
+
     /// Returns the number of classes whose admitted fraction differs from the one that was sent.
     pub(crate) fn changed_fractions(&self, fractions: &[f64]) -> usize {
         let sent = self.sent_fractions.iter().zip(fractions);
--- a/crates/controller/tests/decisions/warming_overload.rs
+++ b/crates/controller/tests/decisions/warming_overload.rs
@@ -1,8 +1,9 @@
-//! Hosts that have just started must not be sent more than they can take, also where the load of the fleet is not known.
+//! Hosts that have just started must not be sent more than they can take, also where the load of the fleet is not known
+//! or a table has only such hosts.
 
 use crate::common::{deployment_config, host};
 use crate::loaded_fleet::{Load, LoadedFleet, entry};
-use pondarch_controller::{DeploymentConfig, EndpointState, Time};
+use pondarch_controller::{DeploymentConfig, EndpointState, HostId, Time};
 
 const HOSTS: usize = 20;
 const PROXIES: u64 = 12;
@@ -105,3 +106,47 @@
         }
     }
 }
+
+/// When a zone's hosts came back one after the other, the first one got all requests that keep to the zone and was
+/// overloaded: it was alone in its table, where its weight bounds nothing (review case 9).
+#[test]
+fn the_first_host_of_a_zone_that_comes_back_is_not_overloaded() {
+    for seed in 1..=5 {
+        let mut config = config();
+        config.request_classes[1].zone_local = true;
+        let mut fleet = fleet(config, 0.64, [0.40, 0.48, 0.12], seed);
+        fleet.run(20_000);
+        lose_and_return(&mut fleet, |n| n % 4 == 0);
+        assert!(
+            fleet.overloaded.is_empty(),
+            "seed {seed}: {:?} (host, requests, limit)",
+            fleet.overloaded
+        );
+    }
+}
+
+/// Loses hosts for 5 s. The list shows the first one to come back 2 s before the others.
+fn lose_and_return(fleet: &mut LoadedFleet, is_lost: impl Fn(usize) -> bool) {
+    let lost: Vec<(u16, HostId)> = (0..HOSTS)
+        .filter(|&n| is_lost(n))
+        .map(|n| ((n % 4) as u16, host(n)))
+        .collect();
+    lost.iter().for_each(|(_, host)| fleet.stop_host(host));
+    fleet.run(1_000);
+    for (zone, host) in &lost {
+        fleet.list(entry(host, *zone, EndpointState::Removed, Time::default()));
+    }
+    fleet.run(4_000);
+    let started: Vec<Time> = lost
+        .iter()
+        .map(|(_, host)| fleet.start_host(host, 1.0))
+        .collect();
+    fleet.run(300);
+    for (index, ((zone, host), started)) in lost.iter().zip(started).enumerate() {
+        fleet.list(entry(host, *zone, EndpointState::Ready, started));
+        if index == 0 {
+            fleet.run(2_100);
+        }
+    }
+    fleet.run(15_000);
+}
