The highest throughput per weight leaves out the successes of hosts that are gone

Cause: the highest throughput per weight divided the successes of all hosts, those that are gone included (they fade over seconds), by the weight of the hosts that are usable now. With most hosts lost it rose many times, and stayed: it is a maximum. The limit on what warming hosts are sent is a multiple of it, in tables and in weights, and so are the admitted rate after a cut and its rise.

Change: only the successes of usable hosts count.

Eleven digests of decision streams change (seven of the adapter, four of platform-core): hosts come and go in all of them.

--- a/crates/controller/src/admission_control.rs
+++ b/crates/controller/src/admission_control.rs
@@ -249,9 +249,9 @@
         let weight = view.usable_weight();
         let by_class = view.proxies.demand_by_class();
         let demand: f64 = by_class.iter().sum();
-        let throughput = view.reports.throughput(view.hosts.iter());
+        let attempts = view.reports.throughput(view.hosts.iter()).attempts;
         let admitted = demand * self.admitted_fraction(view.proxies);
-        let reported_fraction = throughput.attempts / admitted.max(EPSILON);
+        let reported_fraction = attempts / admitted.max(EPSILON);
         self.evidence = self.evidence_tracker.evidence(
             view.now,
             view.update_delay,
@@ -259,7 +259,9 @@
             reported_fraction,
         );
         if self.evidence == LoadEvidence::Full {
-            self.peak_per_weight = self.peak_per_weight.max(throughput.successes / weight);
+            // Without the hosts that are gone: their successes are still counted for a while, but not their weight.
+            let successes = view.reports.throughput(view.usable_hosts()).successes;
+            self.peak_per_weight = self.peak_per_weight.max(successes / weight);
         }
         self.update_lost_capacity(view);
         let objective_s = self.mean_objective_s(&by_class, demand);
--- a/crates/controller/tests/decisions/admission.rs
+++ b/crates/controller/tests/decisions/admission.rs
@@ -327,3 +327,32 @@
         "an overload must shed some load of the lowest priority only: {admission:?}"
     );
 }
+
+/// The highest throughput per weight counted the successes of hosts that were gone, but not their weight. The loss of
+/// most hosts raised it many times, and with it what warming hosts were sent.
+#[test]
+fn loss_of_hosts_does_not_raise_what_warming_hosts_are_sent() {
+    let sent_to_warming_hosts = |removed: usize| {
+        let mut fleet = small_fleet(deployment_config(8));
+        fleet.run(8_000, report_all_healthy);
+        let entries = |hosts: std::ops::Range<usize>, state, started| {
+            hosts.map(|n| endpoint(n, state, started)).collect()
+        };
+        fleet.apply_list(
+            false,
+            entries(0..removed, EndpointState::Removed, Time::default()),
+        );
+        fleet.run(2_000, |_| {});
+        let started = fleet.time();
+        fleet.apply_list(false, entries(0..12, EndpointState::Ready, started));
+        fleet.run(500, |_| {});
+        let load = fleet.controller.status().warming;
+        load.iter().map(|host| host.requests_per_s).sum::<f64>()
+    };
+    let after_loss = sent_to_warming_hosts(11);
+    let without_loss = sent_to_warming_hosts(0);
+    assert!(
+        after_loss < without_loss * 1.1,
+        "warming hosts are sent {after_loss} requests per second after a loss, {without_loss} otherwise"
+    );
+}
--- a/crates/controller/tests/decisions/warming_overload.rs
+++ b/crates/controller/tests/decisions/warming_overload.rs
@@ -125,6 +125,21 @@
     }
 }
 
+/// The same in shared tables: all hosts are lost, and the first one that comes back must not get all requests.
+#[test]
+fn the_first_host_of_a_fleet_that_comes_back_is_not_overloaded() {
+    for seed in 1..=5 {
+        let mut fleet = fleet(config(), 0.64, [0.40, 0.48, 0.12], seed);
+        fleet.run(20_000);
+        lose_and_return(&mut fleet, |_| true);
+        assert!(
+            fleet.overloaded.is_empty(),
+            "seed {seed}: {:?} (host, requests, limit)",
+            fleet.overloaded
+        );
+    }
+}
+
 /// Loses hosts for 5 s. The list shows the first one to come back 2 s before the others.
 fn lose_and_return(fleet: &mut LoadedFleet, is_lost: impl Fn(usize) -> bool) {
     let lost: Vec<(u16, HostId)> = (0..HOSTS)
--- a/crates/platform-core/tests/decision_streams/main.rs
+++ b/crates/platform-core/tests/decision_streams/main.rs
@@ -39,7 +39,7 @@
     };
     assert_digest(
         &site,
-        "d1055704d107d0d9e3d51b222e15109a98568b96a1d3e44c9e33dc9b9b9fca91",
+        "ac0b032be70d0582a011878c1994f330e46f51fe2a736e9f755e726f61760309",
         |counts| counts.lines >= 150 && counts.bindings >= 90 && counts.ack_requests >= 40,
     );
 }
@@ -57,7 +57,7 @@
     };
     assert_digest(
         &site,
-        "269414f17f94d2137fe3e2a08be3fd69463e06705e1950cec5a921c2dbd3afe3",
+        "c8172228e021b2fe1c343f4990b853ce8d996f716be5f4c564a77e0a947b38d4",
         |counts| {
             counts.quotas_lowered >= 150
                 && counts.quotas_raised >= 30
@@ -83,7 +83,7 @@
     };
     assert_digest(
         &site,
-        "c17c883bd19681d0f477c591ccbd6aaaf1a1d13f55fa8d142de8b5f381eed25f",
+        "7bd473a933a139288a429275e5247071b87f0f1d3b5ac3edec1bd18554bef899",
         |counts| {
             counts.calls >= 200
                 && counts.lines >= 6_000
@@ -115,7 +115,7 @@
     };
     assert_digest(
         &site,
-        "a6299291db5b5452a5b519777a9aaf65cc01b91350487333fbd70982fe2a511f",
+        "d086a6e646c1cc87412e51f56edc4d9eb9038519e11cf95e8eaeb69c79f85d50",
         |counts| {
             counts.calls >= 50
                 && counts.lines >= 200
--- a/crates/simulator-adapter/tests/decision_streams/main.rs
+++ b/crates/simulator-adapter/tests/decision_streams/main.rs
@@ -32,7 +32,7 @@
             seconds: 2 * SMALL_SITE.seconds,
             ..SMALL_SITE
         }],
-        "635d6f3a4fc6ff771ed742b96e49ccdbe1c3960f5ffe9af6c939251b108d70e8",
+        "cfcf7738d1cf37fdc8d32b370bffe43b604cd83a4a699ba2456a559da8f7c97c",
         |counts| counts.lines >= 200 && counts.bindings >= 12 && counts.ack_requests >= 40,
     );
 }
@@ -50,7 +50,7 @@
     };
     assert_digest(
         &[site],
-        "40aa459124a0b7bfa41d86cccd7b1c8e7c5637fae38027a3963b6c9459fd83c4",
+        "5d208e5a7d0929994d55c9aa715d5f47362cf51e823e56b5b766c27842ad4adf",
         |counts| {
             counts.lines >= 1_000
                 && counts.quotas_lowered >= 350
@@ -76,7 +76,7 @@
     };
     assert_digest(
         &[site],
-        "8a53f21b0b3403db12bfe95118cf8b72c5a745947b6d856cd01f7278add21fe8",
+        "69165c24096666180f5b5b62fc551ae9475b32f306a2dad5187abd7ae913eee3",
         |counts| {
             counts.lines >= 800
                 && counts.quotas >= 150
@@ -101,7 +101,7 @@
     };
     assert_digest(
         &[site],
-        "5cbbf40b3c95f10e00532df186826c9f5d33211b75e88aa34e0819fafda2070c",
+        "b5194172e042e53328a9f2809f2e4f355933a5ecee1ad072793f4e2d609bc424",
         |counts| {
             counts.lines >= 8_000
                 && counts.bindings >= 900
@@ -128,7 +128,7 @@
     };
     assert_digest(
         &[site],
-        "24ac96781327268c2db55737bb815317ae37f9d2765069d23b2371c62647ee48",
+        "543da9314cdcc26ccbdba8b287cf789514a84a9a49c32c82cf6032658d4da9b6",
         |counts| {
             counts.lines >= 400
                 && counts.bindings >= 200
@@ -156,7 +156,7 @@
     };
     assert_digest(
         &[site],
-        "e2f390c620f3feebab2d0181aba53f8dabe5a3939a342a0f75432c70e4fd647a",
+        "48cd5810a08391a3c6be7a153e10804d16a1834d5d11a2d92c55028617c7cb7f",
         |counts| {
             counts.lines >= 4_000
                 && counts.bindings >= 240
@@ -220,7 +220,7 @@
     };
     assert_digest(
         &[first, second, third],
-        "ae956eacf938ccf6234bb886198eccf1765679ee4a2c7e6ee618919e2578afce",
+        "2b21161cb3c0a38e55dc59ce45544a796a9368b1f78165ad7cfaacaea094b9f0",
         |counts| {
             counts.lines >= 1_000
                 && counts.bindings >= 100
