What a controller sheds at its start is admitted again step by step

Cause: the limit of a controller that knows no load ended at once, with the first reports that showed no overload. In a fleet at its limit these come before the queues are full, and the overload shows afterwards.

Change: the limit is a state of its own (startup_limit.rs). What is known of the load is not forgotten when more is admitted.

Test: admission::what_a_new_controller_shed_is_admitted_step_by_step fails before (0.62 to 1.0 within a second).

--- a/crates/controller/src/admission_control.rs
+++ b/crates/controller/src/admission_control.rs
@@ -9,6 +9,7 @@
 use crate::load_evidence::{LoadEvidence, LoadEvidenceTracker};
 use crate::load_reports::LoadReports;
 use crate::proxy::{Proxy, ProxyRegistry};
+use crate::startup_limit::StartupLimit;
 use crate::statistics::{EPSILON, median, moving_average};
 use crate::time::{DurationExt, Time};
 use std::time::Duration;
@@ -146,6 +147,7 @@
     evidence_tracker: LoadEvidenceTracker,
     /// How well the load was known at the last update.
     evidence: LoadEvidence,
+    startup_limit: StartupLimit,
 }
 
 impl AdmissionController {
@@ -170,6 +172,7 @@
             cut_at: Time::default(),
             evidence_tracker: LoadEvidenceTracker::new(now),
             evidence: LoadEvidence::Missing,
+            startup_limit: StartupLimit::none(),
         }
     }
 
@@ -212,11 +215,11 @@
         }
     }
 
-    /// Admits by the capacity of the hosts as they are listed now, as long as nothing is known of the load.
+    /// Admits by the capacity of the hosts as they are listed now, as long as the load is not known.
     pub(crate) fn refresh_without_evidence(&mut self, view: &AdmissionView<'_>) {
-        if self.evidence == LoadEvidence::Missing {
-            let by_class = view.proxies.demand_by_class();
-            self.update_fractions(view, &by_class);
+        if self.evidence < LoadEvidence::Full {
+            self.startup_limit.set_to_capacity(view.capacity_fraction());
+            self.update_fractions(&view.proxies.demand_by_class());
         }
     }
 
@@ -246,40 +249,70 @@
     pub(crate) fn update(&mut self, view: &AdmissionView<'_>) {
         let latency_s = view.queued_latency_s();
         let failure_ratio = view.failure_ratio();
-        let weight = view.usable_weight();
         let by_class = view.proxies.demand_by_class();
         let demand: f64 = by_class.iter().sum();
         let attempts = view.reports.throughput(view.hosts.iter()).attempts;
         let admitted = demand * self.admitted_fraction(view.proxies);
         let reported_fraction = attempts / admitted.max(EPSILON);
-        self.evidence = self.evidence_tracker.evidence(
+        let evidence = self.evidence_tracker.evidence(
             view.now,
             view.update_delay,
             view.reports.interval(),
             reported_fraction,
         );
-        if self.evidence == LoadEvidence::Full {
-            // Without the hosts that are gone: their successes are still counted for a while, but not their weight.
-            let successes = view.reports.throughput(view.usable_hosts()).successes;
-            self.peak_per_weight = self.peak_per_weight.max(successes / weight);
-        }
+        // What is admitted by more evidence lowers the reported fraction, but not what is known.
+        self.evidence = self.evidence.max(evidence);
+        self.learn_peak(view);
         self.update_lost_capacity(view);
         let objective_s = self.mean_objective_s(&by_class, demand);
         let by_latency = latency_s / (objective_s * OVERLOAD_LATENCY_FRACTION);
         let by_failures = failure_ratio / OVERLOAD_FAILURE_RATIO;
         self.overload = by_latency.max(by_failures) * self.lost_capacity_ratio;
-        self.update_admitted_rate(view, demand, self.peak_per_weight * weight);
-        self.update_fractions(view, &by_class);
+        let peak = self.peak_rate(view, demand);
+        self.update_admitted_rate(view, demand, peak);
+        self.update_startup_limit(view, demand);
+        self.update_fractions(&by_class);
+    }
+
+    /// Updates the highest throughput per weight once reports show it.
+    fn learn_peak(&mut self, view: &AdmissionView<'_>) {
+        if self.evidence < LoadEvidence::Full {
+            return;
+        }
+        let weight = view.usable_weight();
+        // Without the hosts that are gone: their successes are still counted for a while, but not their weight.
+        let successes = view.reports.throughput(view.usable_hosts()).successes;
+        self.peak_per_weight = self.peak_per_weight.max(successes / weight);
+    }
+
+    /// Returns the most requests per second that the usable hosts have served so far, by their weight; the demand as long
+    /// as this is not known.
+    fn peak_rate(&self, view: &AdmissionView<'_>, demand: f64) -> f64 {
+        if self.peak_per_weight > 0.0 {
+            self.peak_per_weight * view.usable_weight()
+        } else {
+            demand
+        }
+    }
+
+    /// Returns the requests per second to admit.
+    fn rate_to_admit(&self, demand: f64) -> f64 {
+        let rate = self.admitted_rate.unwrap_or(demand).min(demand);
+        rate.min(demand * self.startup_limit.fraction())
     }
 
-    /// Returns the requests per second to admit. Without evidence of the load, this is the part of the demand that the
-    /// usable hosts can do of what all listed hosts do when they are warm: a fleet in which hosts are being replaced
-    /// may be overloaded, and its reports come too late for hosts that have just started.
-    fn rate_to_admit(&self, view: &AdmissionView<'_>, demand: f64) -> f64 {
-        let rate = self.admitted_rate.unwrap_or(f64::INFINITY);
-        match self.evidence {
-            LoadEvidence::Missing => rate.min(demand * view.capacity_fraction()),
-            LoadEvidence::Partial | LoadEvidence::Full => rate,
+    /// Limits what is admitted by the capacity until the load is known: a fleet in which hosts are being replaced may be
+    /// overloaded, and its reports come too late for hosts that have just started. Then raises the limit, or ends it at
+    /// the first cut, which starts from it.
+    fn update_startup_limit(&mut self, view: &AdmissionView<'_>, demand: f64) {
+        if self.evidence < LoadEvidence::Full {
+            self.startup_limit.set_to_capacity(view.capacity_fraction());
+        } else if self.admitted_rate.is_some() {
+            self.startup_limit.end();
+        } else if self.overload <= 1.0 {
+            let rate = self.rate_to_admit(demand);
+            let rise = self.rise_per_second(rate, demand) * view.elapsed_s;
+            self.startup_limit.raise(rise, view.capacity_fraction());
         }
     }
 
@@ -323,16 +356,9 @@
     /// that rate would shed nearly all load. Once they stand for most requests, what is admitted is cut without waiting
     /// until they show the throughput: the queues of an overloaded fleet would be full by then.
     fn rate_after_cut(&self, view: &AdmissionView<'_>, demand: f64, peak: f64) -> Option<f64> {
-        let rate = self.admitted_rate.unwrap_or(demand).min(demand);
         let is_cut_visible = view.now - self.cut_at >= CUT_INTERVAL + view.update_delay;
-        match self.evidence {
-            LoadEvidence::Missing => None,
-            LoadEvidence::Partial => is_cut_visible.then(|| {
-                let admitted = demand * view.capacity_fraction();
-                rate.min(admitted) * CUT_FACTOR
-            }),
-            LoadEvidence::Full => is_cut_visible.then_some(rate.min(peak) * CUT_FACTOR),
-        }
+        let may_cut = is_cut_visible && self.evidence > LoadEvidence::Missing;
+        may_cut.then(|| self.rate_to_admit(demand).min(peak) * CUT_FACTOR)
     }
 
     /// Returns the rise of the admitted rate per second, as a fraction of the peak.
@@ -348,16 +374,15 @@
     }
 
     /// Sheds the demand above the admitted rate, from the classes of lowest priority first.
-    fn update_fractions(&mut self, view: &AdmissionView<'_>, demand_by_class: &[f64]) {
+    fn update_fractions(&mut self, demand_by_class: &[f64]) {
         // Where no rates are known, all classes count alike.
         let is_known = demand_by_class.iter().any(|&rate| rate > 0.0);
         let unknown = vec![1.0; demand_by_class.len()];
         let demand_by_class = if is_known { demand_by_class } else { &unknown };
         let demand: f64 = demand_by_class.iter().sum();
-        let rate = self.rate_to_admit(view, demand);
         let fractions = shed_lowest_priority_first(
             demand_by_class,
-            (demand - rate).max(0.0),
+            demand - self.rate_to_admit(demand),
             &self.lowest_priority_first,
             MIN_TOP_FRACTION,
         );
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -28,6 +28,7 @@
 mod report;
 mod shards;
 mod slow_start;
+mod startup_limit;
 mod statistics;
 mod status;
 mod table_admission;
--- a/crates/controller/tests/decisions/admission.rs
+++ b/crates/controller/tests/decisions/admission.rs
@@ -356,3 +356,30 @@
         "warming hosts are sent {after_loss} requests per second after a loss, {without_loss} otherwise"
     );
 }
+
+/// The first reports without overload used to end the limit of a new controller at once. In a fleet at its limit, the
+/// overload showed only afterwards, and hosts that had just started were overloaded.
+#[test]
+fn what_a_new_controller_shed_is_admitted_step_by_step() {
+    let mut fleet = SimulatedFleet::new(deployment_config(16), 0);
+    let now = fleet.time();
+    let started = |n: usize| if n < 6 { now } else { Time::default() };
+    let hosts = (0..12).map(|n| endpoint(n, EndpointState::Ready, started(n)));
+    fleet.apply_list(true, hosts.collect());
+    (0..16).for_each(|n| fleet.join(n, false, 5.0));
+    let mut admitted = Vec::new();
+    for _ in 0..20 {
+        fleet.run(1_000, |fleet| {
+            (0..12).for_each(|n| fleet.report_outcomes(n, 6.0, 0.0, 200))
+        });
+        let fractions = fleet.controller.status().admitted_fractions;
+        admitted.push(fractions.iter().sum::<f64>() / fractions.len() as f64);
+    }
+    let largest_step = admitted.windows(2).map(|pair| pair[1] - pair[0]);
+    let largest_step = largest_step.fold(0.0, f64::max);
+    assert!(
+        admitted[0] < 0.7 && largest_step < 0.15,
+        "the admitted fractions of each second: {admitted:?}"
+    );
+    assert_eq!(admitted.last(), Some(&1.0));
+}
