The usual load of hosts does not grow when most of them are lost

Cause: as long as a controller has not measured what hosts serve, an even split of the demand stands for it. It was split over the hosts of the present list, so a host that was alone there counted as one that usually serves everything, and neither its weight nor its table's admission was limited.

Change: usual_load.rs splits the demand over the largest weight that was listed so far. Placement and table admission had the same rule twice, with slightly different demands (of bound and of joined proxies); both use this one now.

Test: warming_overload::the_first_host_of_a_fleet_that_comes_back_after_a_ restart_is_not_overloaded fails before (12 requests where 9.1 were the limit).

Digests: six streams of the adapter, one of platform-core. Controllers start there, and joining proxies count before they are bound.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -25,6 +25,7 @@
 use crate::time::Time;
 use crate::transitions::{HostTransition, TransitionLog};
 use crate::update_queue::UpdateQueue;
+use crate::usual_load::UsualLoad;
 use std::collections::VecDeque;
 
 /// A controller of one deployment.
@@ -83,6 +84,7 @@
     tables: Vec<TableState>,
     /// What is admitted to each table, as of the current decision round.
     table_admissions: Vec<TableAdmission>,
+    usual_load: UsualLoad,
     reports: LoadReports,
     outlier_detector: OutlierDetector,
     admission: AdmissionController,
@@ -124,6 +126,7 @@
             tables: new_tables(&layout, &config),
             layout,
             table_admissions: vec![TableAdmission::default(); table_count],
+            usual_load: UsualLoad::default(),
             reports: LoadReports::new(report_interval),
             outlier_detector: OutlierDetector::new(&config),
             admission: AdmissionController::new(&config, now),
--- a/crates/controller/src/controller/decide.rs
+++ b/crates/controller/src/controller/decide.rs
@@ -4,8 +4,6 @@
 use crate::admission_control::{AdmissionController, AdmissionView};
 use crate::assignment::usage_by_table;
 use crate::decision::Decision;
-use crate::endpoint::EndpointState;
-use crate::host::Host;
 use crate::ids::TableId;
 use crate::outlier_detection::FleetView;
 use crate::placement::PlacementView;
@@ -57,6 +55,7 @@
         if !self.hosts.has_list() {
             return;
         }
+        self.usual_load.observe(&self.hosts);
         self.update_admission(AdmissionController::refresh_without_evidence, 0.0);
         let is_round_due = timer_fired || expedite;
         self.limit_admission();
@@ -125,17 +124,10 @@
         });
     }
 
-    /// Returns the requests per second and unit of weight that the fleet's hosts usually serve: the peak, or an even split
-    /// of the demand before it is known.
+    /// Returns the requests per second and unit of weight that the fleet's hosts usually serve.
     fn usual_load(&self) -> f64 {
         let peak = self.admission.peak_per_weight();
-        if peak > 0.0 {
-            return peak;
-        }
-        let is_listed = |host: &&Host| host.state() != EndpointState::Removed;
-        let listed = self.hosts.iter().filter(is_listed);
-        let weight: f64 = listed.map(Host::weight).sum();
-        self.proxies.demand() / weight.max(EPSILON)
+        self.usual_load.per_weight(peak, self.proxies.demand())
     }
 
     /// Drops hosts that were removed long ago and are in no table in use.
@@ -203,7 +195,7 @@
             reports: &self.reports,
             usage: &traffic.usage,
             admitted_fraction: traffic.admitted_fraction,
-            peak_per_weight: self.admission.peak_per_weight(),
+            usual_load: self.usual_load(),
         };
         self.placement.place_hosts(&mut self.hosts, &view);
     }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -36,6 +36,7 @@
 mod time;
 mod transitions;
 mod update_queue;
+mod usual_load;
 mod weight_reduction;
 
 pub use config::{AdmissionMode, DeploymentConfig, RequestClass, RetryPolicy};
--- a/crates/controller/src/placement.rs
+++ b/crates/controller/src/placement.rs
@@ -37,8 +37,8 @@
     pub(crate) usage: &'a [f64],
     /// Admitted fraction of all requests.
     pub(crate) admitted_fraction: f64,
-    /// Highest successes per second and unit of weight so far; zero before the first success.
-    pub(crate) peak_per_weight: f64,
+    /// Requests per second and unit of weight that the fleet's hosts usually serve.
+    pub(crate) usual_load: f64,
 }
 
 /// The current state of all hosts. The vectors other than `listed` are indexed like the host registry.
@@ -288,7 +288,6 @@
     /// send everything to the warming one. Elsewhere, its load per unit of current capacity is limited relative to the
     /// fleet's usual load per weight, even if its table has few hosts or busy proxies.
     fn shared_targets(&self, assignment: &ShardAssignment, usage: &[f64]) -> Vec<TargetWeight> {
-        let usual_load = self.usual_load(usage);
         let mut targets = Vec::new();
         for (table, shard) in assignment.shards().iter().enumerate() {
             let excludes_warming_hosts = self.excludes_warming_hosts(shard);
@@ -297,7 +296,7 @@
                 .map(|member| self.fleet.weight[member.host] * member.weight_fraction);
             let shard_weight: f64 = weights.sum();
             let load = (usage[table] * self.view.admitted_fraction).max(EPSILON);
-            let limit = (MAX_WARMING_LOAD * usual_load * shard_weight / load).min(1.0);
+            let limit = (MAX_WARMING_LOAD * self.view.usual_load * shard_weight / load).min(1.0);
             for member in shard {
                 let is_warm = self.fleet.is_warm(member.host);
                 if !is_warm && excludes_warming_hosts {
@@ -317,16 +316,6 @@
         targets
     }
 
-    /// Returns the fleet's usual load per weight: the peak, or an even split of the usage before the first success.
-    fn usual_load(&self, usage: &[f64]) -> f64 {
-        if self.view.peak_per_weight > 0.0 {
-            return self.view.peak_per_weight;
-        }
-        let listed = self.fleet.listed.iter();
-        let listed_weight: f64 = listed.map(|&host| self.hosts.at(host).weight()).sum();
-        usage.iter().sum::<f64>() / listed_weight.max(EPSILON)
-    }
-
     /// Returns whether a table has enough warm hosts and a success ratio below the limit, so that warming hosts stay
     /// out.
     fn excludes_warming_hosts(&self, shard: &Shard) -> bool {
--- a/crates/controller/tests/decisions/warming_overload.rs
+++ b/crates/controller/tests/decisions/warming_overload.rs
@@ -140,6 +140,24 @@
     }
 }
 
+/// The same when the controller is restarted before the loss: as long as the throughput was not known, the only host of
+/// the list counted as one that usually serves all requests.
+#[test]
+fn the_first_host_of_a_fleet_that_comes_back_after_a_restart_is_not_overloaded() {
+    for seed in 1..=5 {
+        let mut fleet = fleet(config(), 0.64, [0.40, 0.48, 0.12], seed);
+        fleet.run(20_000);
+        fleet.restart_controller(250);
+        fleet.run(1_500);
+        lose_and_return(&mut fleet, |_| true);
+        assert!(
+            fleet.overloaded.is_empty(),
+            "seed {seed}: {:?} (host, requests, limit)",
+            fleet.overloaded
+        );
+    }
+}
+
 /// Loses hosts for 5 s. The list shows the first one to come back 2 s before the others.
 fn lose_and_return(fleet: &mut LoadedFleet, is_lost: impl Fn(usize) -> bool) {
     let lost: Vec<(u16, HostId)> = (0..HOSTS)
--- a/crates/platform-core/tests/decision_streams/main.rs
+++ b/crates/platform-core/tests/decision_streams/main.rs
@@ -115,7 +115,7 @@
     };
     assert_digest(
         &site,
-        "acadae59ebd93c0e3f0d7328fb396de0db8c01ea45236ac49cdc89b0079ab266",
+        "01b5462470e5631ee69fc84fe97db5d7220e970b9ee209bd54318ca55436815d",
         |counts| {
             counts.calls >= 50
                 && counts.lines >= 200
--- a/crates/simulator-adapter/tests/decision_streams/main.rs
+++ b/crates/simulator-adapter/tests/decision_streams/main.rs
@@ -76,7 +76,7 @@
     };
     assert_digest(
         &[site],
-        "0b737bb7ddfc4656b29446a00aacccf5f0f68b2484d84fe7bd6b7953fa33db0d",
+        "03687bd11d52d2551b8d23a7903eace9da5fdad7aa0a33389585599e99b4e7ed",
         |counts| {
             counts.lines >= 800
                 && counts.quotas >= 150
@@ -101,7 +101,7 @@
     };
     assert_digest(
         &[site],
-        "83cfc427d97d3748eb830c64c15515e958e8db8c803ea7d2799ef21bd3808d47",
+        "9bf6834e476412d36517d4c2e3cfae395135e027955878d2dd24e45e97ec5c10",
         |counts| {
             counts.lines >= 8_000
                 && counts.bindings >= 900
@@ -128,7 +128,7 @@
     };
     assert_digest(
         &[site],
-        "d0ff2ee778fd650b75f90013e50067ce6c42db90ce30e21df10b18f452795de7",
+        "d9be9e0966ca349e82dec55e54db4390fd7d3ac00e7a654f409986ed43554eb4",
         |counts| {
             counts.lines >= 400
                 && counts.bindings >= 200
@@ -156,7 +156,7 @@
     };
     assert_digest(
         &[site],
-        "345bc6964d29bdeeb9f887856fd6e880f8ca487ecf5bf45bed218876f2bf79b3",
+        "e3d794424f2ad1e05768b1eaf83fbbcd751c136db29f3f8db650330c109bd5ac",
         |counts| {
             counts.lines >= 4_000
                 && counts.bindings >= 240
@@ -182,7 +182,7 @@
     };
     assert_digest(
         &[site],
-        "f694b1ec891c745f58201648b245410f89d1e1f1115513cd82cbd120efeab3eb",
+        "abd1e7775bb1372ec486261f2c2c8121243733ce006195edc8be21f0dd1a5836",
         |counts| {
             counts.lines >= 600
                 && counts.bindings >= 35
@@ -220,7 +220,7 @@
     };
     assert_digest(
         &[first, second, third],
-        "7eec5624f8d8fd271a69a9311f57be4809cd44a9b6d2887139482c7e0d61a9b3",
+        "9887d0def714bcd77c6d43af60e59dad431c408a70fe9020d03cc22b1451bd14",
         |counts| {
             counts.lines >= 1_000
                 && counts.bindings >= 100
