A controller that starts among cold hosts serves more than half of what they can do

Cause: two parts of the startup limit. Its few successes were learned as the highest throughput per weight, by which tables limit what warming hosts get, so the limit held for as long as hosts warmed up. And the first reports cut the admitted rate below it: hosts that have just started are slow, which counts as overload.

Change: the highest throughput is not learned while the startup limit sheds load, or while usable hosts have less than half of their capacity; until then the even split of the demand stands for it. Reports in the first 3 s cut only where that limit sheds nothing.

Test: warming_overload::a_fleet_that_starts_cold_serves_half_of_what_it_can fails before (542 of 1,851 requests with 20 cold hosts).

--- a/crates/controller/src/admission_control.rs
+++ b/crates/controller/src/admission_control.rs
@@ -37,6 +37,8 @@
 const SLOW_RISE: f64 = 0.02;
 /// Minimum admitted fraction of the class of highest priority.
 const MIN_TOP_FRACTION: f64 = 0.5;
+/// Minimum capacity of the usable hosts, per unit of weight, for learning their highest throughput.
+const MIN_PEAK_CAPACITY: f64 = 0.5;
 /// Granularity of admitted fractions.
 pub(crate) const FRACTION_STEP: f64 = 0.05;
 
@@ -274,12 +276,15 @@
         self.update_fractions(&by_class);
     }
 
-    /// Updates the highest throughput per weight once reports show it.
+    /// Updates the highest throughput per weight once reports show it. It would be too low while the startup limit sheds
+    /// load, or while most of the capacity is still warming up.
     fn learn_peak(&mut self, view: &AdmissionView<'_>) {
-        if self.evidence < LoadEvidence::Full {
+        let weight = view.usable_weight();
+        let is_mostly_cold = view.capacity() < weight * MIN_PEAK_CAPACITY;
+        if self.evidence < LoadEvidence::Full || self.startup_limit.is_shedding() || is_mostly_cold
+        {
             return;
         }
-        let weight = view.usable_weight();
         // Without the hosts that are gone: their successes are still counted for a while, but not their weight.
         let successes = view.reports.throughput(view.usable_hosts()).successes;
         self.peak_per_weight = self.peak_per_weight.max(successes / weight);
@@ -354,10 +359,16 @@
     /// Returns the admitted rate after a cut, or `None` if none may be made yet: what the last cut did does not show
     /// yet, or reports do not show the load yet. Reports of few attempts say nothing about the throughput, and a cut to
     /// that rate would shed nearly all load. Once they stand for most requests, what is admitted is cut without waiting
-    /// until they show the throughput: the queues of an overloaded fleet would be full by then.
+    /// until they show the throughput: the queues of an overloaded fleet would be full by then. Where the startup limit
+    /// sheds load already, the cut waits: a host that has just started is slow without any overload.
     fn rate_after_cut(&self, view: &AdmissionView<'_>, demand: f64, peak: f64) -> Option<f64> {
         let is_cut_visible = view.now - self.cut_at >= CUT_INTERVAL + view.update_delay;
-        let may_cut = is_cut_visible && self.evidence > LoadEvidence::Missing;
+        let is_load_known = match self.evidence {
+            LoadEvidence::Missing => false,
+            LoadEvidence::Partial => !self.startup_limit.is_shedding(),
+            LoadEvidence::Full => true,
+        };
+        let may_cut = is_cut_visible && is_load_known;
         may_cut.then(|| self.rate_to_admit(demand).min(peak) * CUT_FACTOR)
     }
 
--- a/crates/controller/src/startup_limit.rs
+++ b/crates/controller/src/startup_limit.rs
@@ -17,6 +17,11 @@
         self.fraction
     }
 
+    /// Returns whether the limit sheds load.
+    pub(crate) fn is_shedding(&self) -> bool {
+        self.fraction < 1.0
+    }
+
     /// Sets the limit to the present capacity, as a fraction of the capacity of all listed hosts when they are warm.
     pub(crate) fn set_to_capacity(&mut self, capacity_fraction: f64) {
         self.fraction = capacity_fraction;
--- a/crates/controller/tests/decisions/loaded_fleet.rs
+++ b/crates/controller/tests/decisions/loaded_fleet.rs
@@ -92,6 +92,8 @@
     controller_started_us: u64,
     /// Hosts that fell over, each with the requests it was sent and those it could take.
     pub(crate) overloaded: Vec<(HostId, usize, f64)>,
+    /// Number of requests that hosts have answered.
+    pub(crate) answered: usize,
 }
 
 impl LoadedFleet {
@@ -111,6 +113,7 @@
             reports: VecDeque::new(),
             controller_started_us: started_us,
             overloaded: Vec::new(),
+            answered: 0,
         };
         for n in 0..proxies {
             let proxy = LoadedProxy {
@@ -183,6 +186,15 @@
         self.fleet.time()
     }
 
+    /// Returns the requests per second that the running hosts can do now.
+    pub(crate) fn capacity(&self) -> f64 {
+        let now_us = self.fleet.now_us;
+        let running = self.hosts.values().filter(|host| host.is_up);
+        running
+            .map(|host| capacity(&self.config, &self.load, host, now_us))
+            .sum()
+    }
+
     /// Runs for this time.
     pub(crate) fn run(&mut self, millis: u64) {
         for _ in 0..millis / STEP_MS {
@@ -251,6 +263,7 @@
             return;
         };
         if let Some(latency_us) = latency_us {
+            self.answered += 1;
             outcomes.latency_us += latency_us;
             proxy.failures.remove(host);
             return;
--- a/crates/controller/tests/decisions/warming_overload.rs
+++ b/crates/controller/tests/decisions/warming_overload.rs
@@ -107,6 +107,37 @@
     }
 }
 
+/// A controller that started while most hosts were warming up took what they served at its startup limit for what they
+/// usually serve, and shed most of a load that they could do for as long as they were warming up.
+#[test]
+fn a_fleet_that_starts_cold_serves_half_of_what_it_can() {
+    const SECONDS: usize = 20;
+    let load = 0.3;
+    let demand = PROXIES as f64 * PROXY_RATE;
+    for cold_hosts in [10, 15, HOSTS] {
+        let mut fleet = fleet(config(), load, [0.48, 0.40, 0.12], 1);
+        fleet.run(1_000);
+        for n in 0..cold_hosts {
+            fleet.stop_host(&host(n));
+            let started = fleet.start_host(&host(n), 1.0);
+            let zone = (n % 4) as u16;
+            fleet.list(entry(&host(n), zone, EndpointState::Ready, started));
+        }
+        fleet.restart_controller(250);
+        let answered_before = fleet.answered;
+        let mut possible = 0.0;
+        for _ in 0..SECONDS {
+            possible += demand.min(fleet.capacity());
+            fleet.run(1_000);
+        }
+        let answered = fleet.answered - answered_before;
+        assert!(
+            answered as f64 > possible / 2.0 && fleet.overloaded.is_empty(),
+            "with {cold_hosts} cold hosts, {answered} of {possible} requests were answered"
+        );
+    }
+}
+
 /// When a zone's hosts came back one after the other, the first one got all requests that keep to the zone and was
 /// overloaded: it was alone in its table, where its weight bounds nothing (review case 9).
 #[test]
