--- a/crates/controller/src/admission_control.rs
+++ b/crates/controller/src/admission_control.rs
@@ -193,6 +193,11 @@
         self.overload
     }
 
+    /// Returns the fraction of all requests that the startup limit admits.
+    pub(crate) fn startup_limit(&self) -> f64 {
+        self.startup_limit.fraction()
+    }
+
     /// Returns the highest successes per second and unit of weight so far; zero before the first success.
     pub(crate) fn peak_per_weight(&self) -> f64 {
         self.peak_per_weight
--- a/crates/controller/src/status.rs
+++ b/crates/controller/src/status.rs
@@ -36,6 +36,8 @@
     pub failing: Vec<HostFailures>,
     /// Admitted fraction of each request class.
     pub admitted_fractions: Vec<f64>,
+    /// Fraction of all requests that a controller admits at most which has just started; 1 if it is not limited so.
+    pub startup_limit: f64,
     /// Overload of the fleet; load is shed above 1.
     pub overload: f64,
     /// Load of the median host including queued requests, where 1 means that all cores are busy.
@@ -262,6 +264,7 @@
             .host_ids_where(|host| host.weight_reduction.lost() > 1.0 - MIN_WARM_ENOUGH_FRACTION),
         failing: sources.failing_hosts(),
         admitted_fractions: sources.admission.fractions().to_vec(),
+        startup_limit: sources.admission.startup_limit(),
         overload: sources.admission.overload(),
         median_load: median(loads).unwrap_or(0.0),
         report_delay: Duration::from_micros((sources.reports.delay_s() * 1e6) as u64),
--- a/crates/platform/src/status_log.rs
+++ b/crates/platform/src/status_log.rs
@@ -80,6 +80,7 @@
         weight_reduced = join_names(&status.weight_reduced),
         failing = format_failing_hosts(status),
         admitted_fractions = ?status.admitted_fractions,
+        startup_limit = format!("{:.2}", status.startup_limit),
         overload = format!("{:.2}", status.overload),
         median_load = format!("{:.2}", status.median_load),
         report_delay_ms = status.report_delay.micros() / 1_000,
