--- a/crates/controller/src/admission_control.rs
+++ b/crates/controller/src/admission_control.rs
@@ -1,21 +1,16 @@
 //! Admission control: under overload, sheds load from the classes of lowest priority first, down to what the fleet can
 //! serve.
 
+use crate::admission_view::AdmissionView;
 use crate::attempt_stats::LOAD_WINDOW;
 use crate::config::DeploymentConfig;
-use crate::endpoint::EndpointState;
-use crate::host::{Host, HostRegistry};
-use crate::host_policy::HostPolicy;
 use crate::load_evidence::{LoadEvidence, LoadEvidenceTracker};
-use crate::load_reports::LoadReports;
 use crate::proxy::{Proxy, ProxyRegistry};
 use crate::startup_limit::StartupLimit;
-use crate::statistics::{EPSILON, median, moving_average};
+use crate::statistics::{EPSILON, moving_average};
 use crate::time::{DurationExt, Time};
 use std::time::Duration;
 
-/// Maximum age of reports used as evidence of overload, in report delays.
-const MAX_REPORT_AGE_DELAYS: f64 = 3.0;
 /// The fleet is overloaded when the median host's mean latency exceeds this fraction of the mean latency objective: the
 /// slower responses then miss the objective.
 const OVERLOAD_LATENCY_FRACTION: f64 = 0.36;
@@ -23,8 +18,6 @@
 const OVERLOAD_FAILURE_RATIO: f64 = 0.3;
 /// Overload below which the admitted rate rises fast.
 const LOW_OVERLOAD: f64 = 0.6;
-/// Minimum mean queue length per host for high latency to count as overload.
-const MIN_MEAN_QUEUE: f64 = 0.2;
 /// Maximum factor on overload for capacity lost since the reports; limited because endpoint lists can be wrong.
 const MAX_LOST_CAPACITY_RATIO: f64 = 2.0;
 /// Factor of a cut, applied to the least of the admitted rate, the demand and the peak.
@@ -42,88 +35,6 @@
 /// Granularity of admitted fractions.
 pub(crate) const FRACTION_STEP: f64 = 0.05;
 
-/// State of the fleet that admission control reads.
-pub(crate) struct AdmissionView<'a> {
-    pub(crate) now: Time,
-    /// Seconds since the last update of admission.
-    pub(crate) elapsed_s: f64,
-    pub(crate) hosts: &'a HostRegistry,
-    pub(crate) policy: &'a HostPolicy,
-    pub(crate) proxies: &'a ProxyRegistry,
-    pub(crate) reports: &'a LoadReports,
-    /// Time until an update sent now takes effect.
-    pub(crate) update_delay: Duration,
-}
-
-impl AdmissionView<'_> {
-    fn usable_hosts(&self) -> impl Iterator<Item = &Host> {
-        self.hosts
-            .iter()
-            .filter(|host| self.policy.is_usable(host, self.now))
-    }
-
-    /// Returns the usable hosts with recent reports; older reports are no evidence of overload.
-    fn fresh_hosts(&self) -> impl Iterator<Item = &Host> {
-        let max_age_s = self.reports.delay_s() * MAX_REPORT_AGE_DELAYS;
-        self.usable_hosts().filter(move |host| {
-            let age = self.reports.newest_at() - host.stats.last_report_at();
-            age.seconds() < max_age_s
-        })
-    }
-
-    /// Returns the capacity of the usable hosts as a fraction of what all listed hosts have when they are warm; 1 if no
-    /// host is warming up, since no host is at risk then.
-    fn capacity_fraction(&self) -> f64 {
-        let mut usable = self.usable_hosts();
-        if usable.all(|host| self.policy.is_warm(host, self.now)) {
-            return 1.0;
-        }
-        let is_listed = |host: &&Host| host.state() != EndpointState::Removed;
-        let listed = self.hosts.iter().filter(is_listed);
-        let listed_weight: f64 = listed.map(Host::weight).sum();
-        (self.capacity() / listed_weight.max(EPSILON)).min(1.0)
-    }
-
-    fn usable_weight(&self) -> f64 {
-        let weight: f64 = self.usable_hosts().map(Host::weight).sum();
-        weight.max(EPSILON)
-    }
-
-    /// Returns the total capacity of the usable hosts, taking slow start into account.
-    fn capacity(&self) -> f64 {
-        let capacity: f64 = self
-            .usable_hosts()
-            .map(|host| host.weight() * self.policy.warm_fraction(host, self.now))
-            .sum();
-        capacity.max(EPSILON)
-    }
-
-    /// Returns the median host's latency in seconds, or zero if hardly any requests are queued: without a queue, high
-    /// latency is not caused by overload, and shedding load would not reduce it.
-    fn queued_latency_s(&self) -> f64 {
-        let latencies = self.fresh_hosts().filter_map(|host| host.stats.latency_s());
-        let latency_s = median(latencies).unwrap_or(0.0);
-        let queues = self
-            .fresh_hosts()
-            .filter_map(|host| host.stats.queue_length());
-        let (reporting, queued) = queues.fold((0.0, 0.0), |(reporting, queued), queue| {
-            (reporting + 1.0, queued + queue)
-        });
-        if queued >= reporting * MIN_MEAN_QUEUE {
-            latency_s
-        } else {
-            0.0
-        }
-    }
-
-    fn failure_ratio(&self) -> f64 {
-        let ratios = self
-            .fresh_hosts()
-            .filter_map(|host| host.stats.failure_ratio());
-        median(ratios).unwrap_or(0.0)
-    }
-}
-
 /// The admitted rate and fractions, and the evidence of overload behind them.
 pub(crate) struct AdmissionController {
     /// Latency objective of each class, in seconds.
--- a/crates/controller/src/controller/decide.rs
+++ b/crates/controller/src/controller/decide.rs
@@ -1,7 +1,8 @@
 //! The order in which decisions are made.
 
 use super::Controller;
-use crate::admission_control::{AdmissionController, AdmissionView};
+use crate::admission_control::AdmissionController;
+use crate::admission_view::AdmissionView;
 use crate::assignment::usage_by_table;
 use crate::decision::Decision;
 use crate::ids::TableId;
--- a/crates/controller/src/host.rs
+++ b/crates/controller/src/host.rs
@@ -158,6 +158,13 @@
         self.hosts.iter()
     }
 
+    /// Returns the total weight of the hosts that are ready or draining.
+    pub(crate) fn listed_weight(&self) -> f64 {
+        let is_listed = |host: &&Host| host.state() != EndpointState::Removed;
+        let listed = self.hosts.iter().filter(is_listed);
+        listed.map(Host::weight).sum()
+    }
+
     pub(crate) fn iter_mut(&mut self) -> std::slice::IterMut<'_, Host> {
         self.hosts.iter_mut()
     }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -5,6 +5,7 @@
 //! randomness comes from the seed, so the same inputs always produce the same decisions.
 
 mod admission_control;
+mod admission_view;
 mod assignment;
 mod attempt_stats;
 mod config;
--- a/crates/controller/src/usual_load.rs
+++ b/crates/controller/src/usual_load.rs
@@ -1,8 +1,7 @@
 //! The load that hosts usually serve: the measure of what a warming host can take, since the capacity of a host is not
 //! known.
 
-use crate::endpoint::EndpointState;
-use crate::host::{Host, HostRegistry};
+use crate::host::HostRegistry;
 use crate::statistics::EPSILON;
 
 /// The usual load of a fleet's hosts.
@@ -16,10 +15,7 @@
 impl UsualLoad {
     /// Records the weight of the hosts that are listed now.
     pub(crate) fn observe(&mut self, hosts: &HostRegistry) {
-        let is_listed = |host: &&Host| host.state() != EndpointState::Removed;
-        let listed = hosts.iter().filter(is_listed);
-        let listed_weight: f64 = listed.map(Host::weight).sum();
-        self.max_listed_weight = self.max_listed_weight.max(listed_weight);
+        self.max_listed_weight = self.max_listed_weight.max(hosts.listed_weight());
     }
 
     /// Returns the requests per second and unit of weight that hosts usually serve: the peak, or an even split of the
