--- a/crates/controller/tests/decisions/loaded_fleet.rs
+++ b/crates/controller/tests/decisions/loaded_fleet.rs
@@ -2,6 +2,7 @@
 //! hosts which fail them. Checks that no host that has just started is sent more than it can take.
 
 use crate::common::{SECOND, SimulatedFleet, ms};
+use crate::loaded_host::{LoadedHost, Request};
 use pondarch_controller::{
     AttemptOutcomes, Controller, DeploymentConfig, Endpoint, EndpointState, HostId, HostLoad,
     ProxyId, RequestClassId, TableId, Time, ZoneId,
@@ -10,20 +11,11 @@
 
 /// Time between two steps of the model.
 const STEP_MS: u64 = 50;
-/// Requests that a host holds before it rejects more.
-const MAX_HELD: usize = 12;
-/// Time after which clients give up on a request.
-const CLIENT_TIMEOUT_US: u64 = 3 * SECOND;
 /// Failures in a row after which a proxy avoids a host, and for how long.
 const MAX_FAILURES: u32 = 3;
 const AVOIDED_FOR_US: u64 = 5 * SECOND;
 /// Reports arrive this many seconds after the second that they cover.
 const REPORT_DELAY_S: usize = 1;
-/// A warming host falls over when it is sent more than this many times its capacity within the span. A quarter more is
-/// left to chance.
-const OVERLOAD_FACTOR: f64 = 2.5;
-const OVERLOAD_SPAN_US: u64 = 2_300_000;
-const CHANCE_FACTOR: f64 = 1.25;
 /// A rule's time limits start this long after a controller first answers.
 const RULES_START_AFTER_US: u64 = SECOND;
 
@@ -38,22 +30,6 @@
     pub host_rate: f64,
 }
 
-struct Request {
-    sent_at_us: u64,
-    work: f64,
-    proxy: ProxyId,
-}
-
-#[derive(Default)]
-struct LoadedHost {
-    is_up: bool,
-    weight: f64,
-    started_us: u64,
-    held: VecDeque<Request>,
-    /// When requests were sent to it since its start.
-    sent_at_us: VecDeque<u64>,
-}
-
 #[derive(Default)]
 struct Outcomes {
     attempts: f64,
@@ -152,11 +128,7 @@
 
     /// Adds a warm host, and lists it.
     pub(crate) fn add_warm_host(&mut self, entry: Endpoint) {
-        let host = LoadedHost {
-            is_up: true,
-            weight: entry.weight,
-            ..LoadedHost::default()
-        };
+        let host = LoadedHost::new(entry.weight, None);
         self.hosts.insert(entry.host.clone(), host);
         self.list(entry);
     }
@@ -169,19 +141,13 @@
     /// Stops a host's process.
     pub(crate) fn stop_host(&mut self, host: &HostId) {
         if let Some(host) = self.hosts.get_mut(host) {
-            host.is_up = false;
-            host.held.clear();
+            host.stop();
         }
     }
 
     /// Starts a host's process. Returns the time of its start.
     pub(crate) fn start_host(&mut self, host: &HostId, weight: f64) -> Time {
-        let started = LoadedHost {
-            is_up: true,
-            weight,
-            started_us: self.fleet.now_us,
-            ..LoadedHost::default()
-        };
+        let started = LoadedHost::new(weight, Some(self.fleet.now_us));
         self.hosts.insert(host.clone(), started);
         self.fleet.time()
     }
@@ -189,9 +155,9 @@
     /// Returns the requests per second that the running hosts can do now.
     pub(crate) fn capacity(&self) -> f64 {
         let now_us = self.fleet.now_us;
-        let running = self.hosts.values().filter(|host| host.is_up);
+        let running = self.hosts.values().filter(|host| host.is_up());
         running
-            .map(|host| capacity(&self.config, &self.load, host, now_us))
+            .map(|host| host.capacity(&self.config, self.load.host_rate, now_us))
             .sum()
     }
 
@@ -236,20 +202,13 @@
         let now_us = self.fleet.now_us;
         let mut ended: Vec<(HostId, ProxyId, Option<u64>)> = Vec::new();
         for (id, host) in &mut self.hosts {
-            let mut done = capacity(&self.config, &self.load, host, now_us) * STEP_MS as f64 / 1e3;
-            while let Some(request) = host.held.front_mut() {
-                let waited_us = now_us - request.sent_at_us;
-                if waited_us > CLIENT_TIMEOUT_US {
-                    ended.push((id.clone(), request.proxy, None));
-                } else if request.work > done {
-                    request.work -= done;
-                    break;
-                } else {
-                    done -= request.work;
-                    ended.push((id.clone(), request.proxy, Some(waited_us)));
-                }
-                host.held.pop_front();
-            }
+            let capacity = host.capacity(&self.config, self.load.host_rate, now_us);
+            let of_host = host.work(capacity * STEP_MS as f64 / 1e3, now_us);
+            ended.extend(
+                of_host
+                    .into_iter()
+                    .map(|end| (id.clone(), end.proxy, end.latency_us)),
+            );
         }
         for (host, proxy, latency_us) in ended {
             self.record_outcome(&host, proxy, latency_us);
@@ -345,14 +304,12 @@
             .hosts
             .get_mut(host_id)
             .expect("a host that was started");
-        let is_taken = host.is_up && host.held.len() < MAX_HELD;
-        if is_taken {
-            host.held.push_back(Request {
-                sent_at_us: self.fleet.now_us,
-                work,
-                proxy: id,
-            });
-        } else {
+        let is_taken = host.take(Request {
+            sent_at_us: self.fleet.now_us,
+            work,
+            proxy: id,
+        });
+        if !is_taken {
             self.record_outcome(host_id, id, None);
         }
         is_taken
@@ -362,20 +319,15 @@
     fn check_load(&mut self, id: &HostId) {
         let now_us = self.fleet.now_us;
         let host = self.hosts.get_mut(id).expect("a host that was started");
-        let capacity = capacity(&self.config, &self.load, host, now_us);
-        let is_warm = capacity >= self.load.host_rate * host.weight;
-        if !host.is_up || is_warm || now_us < self.controller_started_us + RULES_START_AFTER_US {
+        let capacity = host.capacity(&self.config, self.load.host_rate, now_us);
+        let is_warm = capacity >= self.load.host_rate * host.weight();
+        if !host.is_up() || is_warm || now_us < self.controller_started_us + RULES_START_AFTER_US {
             return;
         }
-        host.sent_at_us.push_back(now_us);
-        host.sent_at_us
-            .retain(|at_us| now_us - at_us <= OVERLOAD_SPAN_US);
-        let budget = OVERLOAD_FACTOR * capacity * OVERLOAD_SPAN_US as f64 / SECOND as f64;
-        let sent = host.sent_at_us.len();
-        if sent as f64 > budget * CHANCE_FACTOR {
-            host.is_up = false;
-            host.held.clear();
-            self.overloaded.push((id.clone(), sent, budget));
+        if let Some(overload) = host.overload(capacity, now_us) {
+            host.stop();
+            self.overloaded
+                .push((id.clone(), overload.sent, overload.budget));
         }
     }
 
@@ -390,7 +342,7 @@
         };
         let now = self.fleet.time();
         for (host, outcomes) in outcomes {
-            let held = self.hosts.get(&host).map_or(0, |host| host.held.len());
+            let held = self.hosts.get(&host).map_or(0, LoadedHost::held);
             let successes = outcomes.attempts - outcomes.failures;
             let mean_latency = ms(outcomes.latency_us / 1_000).div_f64(successes.max(1.0));
             let load = HostLoad {
@@ -416,16 +368,6 @@
     }
 }
 
-/// Returns the requests per second that a host can do now.
-fn capacity(config: &DeploymentConfig, load: &Load, host: &LoadedHost, now_us: u64) -> f64 {
-    let full = load.host_rate * host.weight;
-    if host.started_us == 0 {
-        return full;
-    }
-    let age = (now_us - host.started_us) as f64 / config.slow_start_window.as_micros() as f64;
-    full * (config.initial_capacity + (1.0 - config.initial_capacity) * age).min(1.0)
-}
-
 /// Returns the table that a proxy uses for a class. No classes stand for all.
 fn table_of_class(
     tables: &BTreeMap<Vec<RequestClassId>, TableId>,
--- a/crates/controller/tests/decisions/main.rs
+++ b/crates/controller/tests/decisions/main.rs
@@ -9,6 +9,7 @@
 mod full_size;
 mod invariants;
 mod loaded_fleet;
+mod loaded_host;
 mod message_cap;
 mod outliers;
 mod placement;
