A controller that loses all hosts before it knows the load starts anew

Cause: the load counts as known 3 s after the first report. Where the hosts are gone by then nothing was learned, and the startup limit, which acts while hosts warm up, never acted.

Change: without a usable host, and as long as no throughput was learned, the evidence of the load starts anew.

Test: admission::loss_of_all_hosts_before_the_load_is_known_admits_by_capacity_ again fails before (all requests admitted).

--- a/crates/controller/src/admission_control.rs
+++ b/crates/controller/src/admission_control.rs
@@ -158,13 +158,22 @@
         } else {
             self.admitted_rate = None;
             self.peak_per_weight = 0.0;
-            self.evidence_tracker = LoadEvidenceTracker::new(now);
-            self.evidence = LoadEvidence::Missing;
+            self.restart_evidence(now);
         }
     }
 
+    fn restart_evidence(&mut self, now: Time) {
+        self.evidence_tracker = LoadEvidenceTracker::new(now);
+        self.evidence = LoadEvidence::Missing;
+    }
+
     /// Updates the overload, the admitted rate and the admitted fractions.
     pub(crate) fn update(&mut self, view: &AdmissionView<'_>) {
+        let is_throughput_known = self.peak_per_weight > 0.0;
+        if !is_throughput_known && view.usable_hosts().next().is_none() {
+            // All hosts were lost before the load was known: it is as unknown as at the start.
+            self.restart_evidence(view.now);
+        }
         let latency_s = view.queued_latency_s();
         let failure_ratio = view.failure_ratio();
         let by_class = view.proxies.demand_by_class();
--- a/crates/controller/tests/decisions/admission.rs
+++ b/crates/controller/tests/decisions/admission.rs
@@ -328,6 +328,27 @@
     );
 }
 
+/// A controller that lost all hosts before it knew the load took the time without any as knowledge of the load. It then
+/// admitted all requests when the hosts came back cold.
+#[test]
+fn loss_of_all_hosts_before_the_load_is_known_admits_by_capacity_again() {
+    let mut fleet = SimulatedFleet::new(deployment_config(16), 12);
+    (0..16).for_each(|n| fleet.join(n, false, 5.0));
+    fleet.run(1_500, report_all_healthy);
+    let entries = |state, started| (0..12).map(|n| endpoint(n, state, started)).collect();
+    fleet.apply_list(false, entries(EndpointState::Removed, Time::default()));
+    fleet.run(5_000, |_| {});
+    let started = fleet.time();
+    fleet.apply_list(false, entries(EndpointState::Ready, started));
+    fleet.run(500, |_| {});
+    let fractions = fleet.controller.status().admitted_fractions;
+    let admitted = fractions.iter().sum::<f64>() / fractions.len() as f64;
+    assert!(
+        admitted < 0.4,
+        "hosts that have just started get {admitted} of the requests"
+    );
+}
+
 /// The highest throughput per weight counted the successes of hosts that were gone, but not their weight. The loss of
 /// most hosts raised it many times, and with it what warming hosts were sent.
 #[test]
