--- a/crates/controller/tests/decisions/main.rs
+++ b/crates/controller/tests/decisions/main.rs
@@ -15,6 +15,7 @@
 mod placement;
 mod random_events;
 mod slow_start;
+mod startup;
 mod update_queue;
 mod update_results;
 mod warming_overload;
--- a/crates/controller/tests/decisions/warming_overload.rs
+++ b/crates/controller/tests/decisions/warming_overload.rs
@@ -142,45 +142,43 @@
 /// overloaded: it was alone in its table, where its weight bounds nothing (review case 9).
 #[test]
 fn the_first_host_of_a_zone_that_comes_back_is_not_overloaded() {
-    for seed in 1..=5 {
-        let mut config = config();
-        config.request_classes[1].zone_local = true;
-        let mut fleet = fleet(config, 0.64, [0.40, 0.48, 0.12], seed);
+    let mut config = config();
+    config.request_classes[1].zone_local = true;
+    let run = |fleet: &mut LoadedFleet| {
         fleet.run(20_000);
-        lose_and_return(&mut fleet, |n| n % 4 == 0);
-        assert!(
-            fleet.overloaded.is_empty(),
-            "seed {seed}: {:?} (host, requests, limit)",
-            fleet.overloaded
-        );
-    }
+        lose_and_return(fleet, |n| n % 4 == 0);
+    };
+    assert_none_overloaded(&config, run);
 }
 
 /// The same in shared tables: all hosts are lost, and the first one that comes back must not get all requests.
 #[test]
 fn the_first_host_of_a_fleet_that_comes_back_is_not_overloaded() {
-    for seed in 1..=5 {
-        let mut fleet = fleet(config(), 0.64, [0.40, 0.48, 0.12], seed);
+    let run = |fleet: &mut LoadedFleet| {
         fleet.run(20_000);
-        lose_and_return(&mut fleet, |_| true);
-        assert!(
-            fleet.overloaded.is_empty(),
-            "seed {seed}: {:?} (host, requests, limit)",
-            fleet.overloaded
-        );
-    }
+        lose_and_return(fleet, |_| true);
+    };
+    assert_none_overloaded(&config(), run);
 }
 
 /// The same when the controller is restarted before the loss: as long as the throughput was not known, the only host of
 /// the list counted as one that usually serves all requests.
 #[test]
 fn the_first_host_of_a_fleet_that_comes_back_after_a_restart_is_not_overloaded() {
-    for seed in 1..=5 {
-        let mut fleet = fleet(config(), 0.64, [0.40, 0.48, 0.12], seed);
+    let run = |fleet: &mut LoadedFleet| {
         fleet.run(20_000);
         fleet.restart_controller(250);
         fleet.run(1_500);
-        lose_and_return(&mut fleet, |_| true);
+        lose_and_return(fleet, |_| true);
+    };
+    assert_none_overloaded(&config(), run);
+}
+
+/// Asserts that no warming host is overloaded with any of five seeds at 0.64 of capacity.
+fn assert_none_overloaded(config: &DeploymentConfig, run: impl Fn(&mut LoadedFleet)) {
+    for seed in 1..=5 {
+        let mut fleet = fleet(config.clone(), 0.64, [0.40, 0.48, 0.12], seed);
+        run(&mut fleet);
         assert!(
             fleet.overloaded.is_empty(),
             "seed {seed}: {:?} (host, requests, limit)",
