Log the usual load, what warming hosts were reported to get, and why clients close

Change: status has usual_load; warming hosts have the part of their bound that is used, and the attempts per second that reports show; each connection to the controller's own address that its peer or its session ends is logged with the reason. No decision changes.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -158,6 +158,7 @@
             tables: &self.tables,
             update_policy: &self.update_policy,
             attempts_per_weight: self.attempts_per_weight(),
+            usual_load: self.usual_load(),
         })
     }
 
--- a/crates/controller/src/controller/decide.rs
+++ b/crates/controller/src/controller/decide.rs
@@ -126,7 +126,7 @@
     }
 
     /// Returns the requests per second and unit of weight that the fleet's hosts usually serve.
-    fn usual_load(&self) -> f64 {
+    pub(super) fn usual_load(&self) -> f64 {
         let peak = self.admission.peak_per_weight();
         self.usual_load.per_weight(peak, self.proxies.demand())
     }
--- a/crates/controller/src/status.rs
+++ b/crates/controller/src/status.rs
@@ -8,6 +8,7 @@
 use crate::placement::MIN_WARM_ENOUGH_FRACTION;
 use crate::proxy::ProxyRegistry;
 use crate::publishing::UpdatePolicy;
+use crate::slow_start::MAX_WARMING_LOAD;
 use crate::statistics::{EPSILON, median};
 use crate::tables::TableState;
 use crate::time::Time;
@@ -48,6 +49,8 @@
     pub demand: f64,
     /// Attempts per second at all hosts.
     pub throughput: Throughput,
+    /// Requests per second and unit of weight that the hosts usually serve; what a warming host may be sent is bounded by it.
+    pub usual_load: f64,
     /// State of the queue of updates to the proxies.
     pub update_queue: UpdateQueueStatus,
     /// State of the limit on messages to each proxy.
@@ -67,6 +70,11 @@
     pub requests_per_s: f64,
     /// Expected requests per unit of its current capacity, relative to the fleet's mean (1 means equal load).
     pub relative_load: f64,
+    /// Expected requests relative to what it may be sent at most.
+    pub bound_used: f64,
+    /// Attempts per second that ended at it according to the reports. More than expected means that proxies avoid other
+    /// hosts or hold other weights.
+    pub attempts_per_s: f64,
 }
 
 /// State of the message cap, which limits the messages to each proxy per window.
@@ -175,6 +183,8 @@
     pub(crate) update_policy: &'a UpdatePolicy,
     /// Expected attempts per second and unit of weight in each table.
     pub(crate) attempts_per_weight: Vec<f64>,
+    /// Requests per second and unit of weight that the fleet's hosts usually serve.
+    pub(crate) usual_load: f64,
 }
 
 impl SnapshotSources<'_> {
@@ -239,11 +249,14 @@
             .map(|host| {
                 let requests_per_s = self.expected_attempts(host);
                 let load = requests_per_s / capacity(host).max(EPSILON);
+                let max_load = MAX_WARMING_LOAD * self.usual_load;
                 WarmingHost {
                     host: host.id().clone(),
                     warm_fraction: self.policy.warm_fraction(host, self.now),
                     requests_per_s,
                     relative_load: load / mean_load.max(EPSILON),
+                    bound_used: load / max_load.max(EPSILON),
+                    attempts_per_s: self.reports.throughput(std::iter::once(host)).attempts,
                 }
             })
             .collect()
@@ -270,6 +283,7 @@
         report_delay: Duration::from_micros((sources.reports.delay_s() * 1e6) as u64),
         demand: sources.proxies.demand(),
         throughput: sources.reports.throughput(sources.hosts.iter()),
+        usual_load: sources.usual_load,
         update_queue: sources.queue.status(),
         message_cap: sources.message_cap(),
         warming: sources.warming_hosts(),
--- a/crates/platform/src/dispatch.rs
+++ b/crates/platform/src/dispatch.rs
@@ -129,7 +129,11 @@
             }
             ClientEvent::Report(message) => self.handle_input(Input::Report(message)),
             ClientEvent::Malformed(reason) => self.handle_input(Input::MalformedReport(reason)),
-            ClientEvent::Closed(reason) => self.clients.close(client, reason),
+            ClientEvent::Closed(reason) => {
+                self.log_limit
+                    .log(|| info!(client, ?reason, "client connection closed"));
+                self.clients.close(client, reason);
+            }
         }
     }
 }
--- a/crates/platform/src/status_log.rs
+++ b/crates/platform/src/status_log.rs
@@ -87,6 +87,7 @@
         demand_per_s = format!("{:.1}", status.demand),
         successes_per_s = format!("{:.1}", status.throughput.successes),
         attempts_per_s = format!("{:.1}", status.throughput.attempts),
+        usual_load = format!("{:.3}", status.usual_load),
         "status"
     );
 }
@@ -107,8 +108,13 @@
     }
     let format_host = |host: &WarmingHost| {
         format!(
-            "{}:{:.2}part,{:.2}per_s,{:.2}load",
-            host.host.0, host.warm_fraction, host.requests_per_s, host.relative_load
+            "{}:{:.2}part,{:.2}per_s,{:.2}load,{:.2}bound,{:.2}seen",
+            host.host.0,
+            host.warm_fraction,
+            host.requests_per_s,
+            host.relative_load,
+            host.bound_used,
+            host.attempts_per_s
         )
     };
     let hosts: Vec<String> = warming.iter().map(format_host).collect();
