--- a/crates/cli/tests/platform/channel_relay.rs
+++ b/crates/cli/tests/platform/channel_relay.rs
@@ -22,6 +22,12 @@
     state: Arc<Mutex<State>>,
 }
 
+impl Drop for ChannelRelay {
+    fn drop(&mut self) {
+        self.state().is_over = true;
+    }
+}
+
 impl ChannelRelay {
     /// Starts a relay with a channel of `rate` lines per second and this number of joined proxies.
     pub(crate) fn start(rate: f64, proxies: u16) -> ChannelRelay {
@@ -76,6 +82,24 @@
         self.state().join(proxy);
     }
 
+    /// Sets the zones that proxies are in, by turns, and the requests per second that they state when they join.
+    pub(crate) fn set_proxies(&self, zones: &[&'static str], stated_rate: f64) {
+        let mut state = self.state();
+        state.zones = zones.to_vec();
+        state.stated_rate = stated_rate;
+    }
+
+    /// Forgets the table of a proxy that joins another relay.
+    pub(crate) fn forget_table(&self, proxy: u16) {
+        self.state().applied.remove(&proxy);
+    }
+
+    /// The number of open connections, and the largest number so far.
+    pub(crate) fn connections(&self) -> (usize, usize) {
+        let state = self.state();
+        (state.connections, state.most_connections)
+    }
+
     /// The largest number of lines that have waited in the channel.
     pub(crate) fn most_waiting(&self) -> f64 {
         self.state().most_waiting
@@ -87,7 +111,7 @@
     }
 
     /// The table that each joined proxy has applied.
-    pub(crate) fn applied_tables(&self) -> BTreeMap<u16, AppliedTable> {
+    pub(crate) fn applied_tables(&self) -> BTreeMap<u16, Arc<AppliedTable>> {
         let state = self.state();
         let joined = |proxy: &u16| state.joined.contains(proxy);
         let applied = state.applied.iter().filter(|(proxy, _)| joined(proxy));
@@ -131,10 +155,11 @@
     loop {
         thread::sleep(SEND_INTERVAL);
         let now = Instant::now();
-        state
-            .lock()
-            .expect("a thread panicked")
-            .advance(now, now - last);
+        let mut state = lock(state);
+        if state.is_over {
+            return;
+        }
+        state.advance(now, now - last);
         last = now;
     }
 }
@@ -142,10 +167,18 @@
 fn serve(listener: &TcpListener, state: &Arc<Mutex<State>>) {
     for stream in listener.incoming().flatten() {
         let state = state.clone();
-        thread::spawn(move || serve_connection(stream, &state));
+        thread::spawn(move || {
+            lock(&state).count_connection();
+            serve_connection(stream, &state);
+            lock(&state).connections -= 1;
+        });
     }
 }
 
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().expect("a thread panicked")
+}
+
 fn serve_connection(mut stream: TcpStream, state: &Mutex<State>) -> Option<()> {
     let reader = BufReader::new(stream.try_clone().ok()?);
     for line in reader.lines() {
--- a/crates/cli/tests/platform/channel_state.rs
+++ b/crates/cli/tests/platform/channel_state.rs
@@ -5,6 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::Write;
 use std::net::TcpStream;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Lines that each message counts in addition to its own.
@@ -17,6 +18,9 @@
 /// The lines of a table: hosts and their weights.
 pub(crate) type Weights = BTreeMap<String, f64>;
 
+/// The admitted fractions of a table, by class.
+pub(crate) type Admissions = BTreeMap<String, f64>;
+
 /// How update calls are answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CallFault {
@@ -29,10 +33,10 @@
 
 /// A change that a message makes at its proxy.
 enum Change {
-    Table(Weights),
+    Table(Weights, Admissions),
     Set(String, f64),
     Remove(String),
-    Admission,
+    Admission(Vec<String>, f64),
 }
 
 /// A message to a proxy that waits in the channel or is in transit.
@@ -45,9 +49,10 @@
 }
 
 /// The table that a proxy has applied.
-#[derive(Clone)]
+#[derive(Clone, Default)]
 pub(crate) struct AppliedTable {
     pub weights: Weights,
+    pub admissions: Admissions,
     /// When the update call of the last applied message arrived; none if that was before the present controller started.
     pub updated_at: Option<Instant>,
 }
@@ -58,17 +63,25 @@
     pub(super) fault: CallFault,
     pub(super) joined: BTreeSet<u16>,
     pub(super) tables: BTreeMap<u16, Weights>,
-    admissions: BTreeMap<u16, BTreeSet<String>>,
+    admissions: BTreeMap<u16, Admissions>,
     pub(super) bound: BTreeMap<u16, u16>,
     queue: VecDeque<Message>,
     in_transit: VecDeque<(Instant, Message)>,
     waiting: f64,
     pub(super) most_waiting: f64,
-    pub(super) applied: BTreeMap<u16, AppliedTable>,
+    pub(super) applied: BTreeMap<u16, Arc<AppliedTable>>,
+    /// The zones that proxies are in, by turns.
+    pub(super) zones: Vec<&'static str>,
+    /// Requests per second that joining proxies state.
+    pub(super) stated_rate: f64,
     message_times: BTreeMap<u16, VecDeque<Instant>>,
     pub(super) most_messages: usize,
     pub(super) watchers: Vec<TcpStream>,
     pub(super) last_call: Option<Instant>,
+    pub(super) connections: usize,
+    pub(super) most_connections: usize,
+    /// Whether the relay was dropped.
+    pub(super) is_over: bool,
 }
 
 impl State {
@@ -85,13 +98,24 @@
             waiting: 0.0,
             most_waiting: 0.0,
             applied: BTreeMap::new(),
+            zones: vec!["a"],
+            stated_rate: 4.0,
             message_times: BTreeMap::new(),
             most_messages: 0,
             watchers: Vec::new(),
             last_call: None,
+            connections: 0,
+            most_connections: 0,
+            is_over: false,
         }
     }
 
+    /// Counts a connection that was opened.
+    pub(super) fn count_connection(&mut self) {
+        self.connections += 1;
+        self.most_connections = self.most_connections.max(self.connections);
+    }
+
     /// Drops the tables and all messages on their way to proxies, as after the controller's end; proxies keep the tables
     /// that they have applied.
     pub(super) fn forget_controller(&mut self) {
@@ -104,7 +128,7 @@
         self.message_times.clear();
         self.watchers.clear();
         for applied in self.applied.values_mut() {
-            applied.updated_at = None;
+            Arc::make_mut(applied).updated_at = None;
         }
     }
 
@@ -124,13 +148,23 @@
     /// The proxy joins with the table that it has applied.
     pub(super) fn join(&mut self, proxy: u16) {
         self.joined.insert(proxy);
-        self.notify(&joined_event(proxy, false));
+        let event = self.joined_event(proxy, false);
+        self.notify(&event);
+    }
+
+    fn joined_event(&self, proxy: u16, is_new: bool) -> String {
+        let zone = self.zones[usize::from(proxy) % self.zones.len()];
+        let rate = self.stated_rate;
+        format!(
+            "{{\"method\":\"joined\",\"params\":{{\"id\":{proxy},\"site\":\"{zone}\",\"rps\":{rate:.1},\"new\":{is_new}}}}}\n"
+        )
     }
 
     /// The first events of a membership watch: all proxies that are joined.
     pub(super) fn joined_events(&self) -> String {
         let joined = self.joined.iter();
-        let events = joined.map(|&proxy| joined_event(proxy, !self.applied.contains_key(&proxy)));
+        let events =
+            joined.map(|&proxy| self.joined_event(proxy, !self.applied.contains_key(&proxy)));
         let first = "{\"jsonrpc\":\"2.0\",\"id\":0,\"result\":true}\n".to_string();
         first + &events.collect::<String>()
     }
@@ -159,12 +193,13 @@
                         break;
                     }
                     let weights = self.tables.get(&table).cloned().unwrap_or_default();
-                    let admissions = self.admissions.get(&table).map_or(0, BTreeSet::len);
-                    *lines.entry(proxy).or_default() += (1 + weights.len() + admissions) as f64;
+                    let admissions = self.admissions.get(&table).cloned().unwrap_or_default();
+                    *lines.entry(proxy).or_default() +=
+                        (1 + weights.len() + admissions.len()) as f64;
                     changes
                         .entry(proxy)
                         .or_default()
-                        .push(Change::Table(weights));
+                        .push(Change::Table(weights, admissions));
                     self.bound.insert(proxy, table);
                 }
                 verb => {
@@ -219,11 +254,11 @@
             Change::Remove(host) => {
                 self.tables.entry(table).or_default().remove(&host);
             }
-            Change::Admission => {
-                let classes = self.admissions.entry(table).or_default();
-                classes.insert(change["routes"].to_string());
+            Change::Admission(classes, fraction) => {
+                let admissions = self.admissions.entry(table).or_default();
+                admissions.extend(classes.into_iter().map(|class| (class, fraction)));
             }
-            Change::Table(_) => unreachable!("changes of a table are made line by line"),
+            Change::Table(..) => unreachable!("changes of a table are made line by line"),
         }
     }
 
@@ -251,17 +286,20 @@
     }
 
     fn deliver(&mut self, message: Message) {
-        let applied = self.applied.entry(message.proxy).or_insert(AppliedTable {
-            weights: Weights::new(),
-            updated_at: None,
-        });
+        let applied = Arc::make_mut(self.applied.entry(message.proxy).or_default());
         applied.updated_at = Some(message.called_at);
         for change in message.changes {
             match change {
-                Change::Table(weights) => applied.weights = weights,
+                Change::Table(weights, admissions) => {
+                    applied.weights = weights;
+                    applied.admissions = admissions;
+                }
                 Change::Set(host, weight) => drop(applied.weights.insert(host, weight)),
                 Change::Remove(host) => drop(applied.weights.remove(&host)),
-                Change::Admission => {}
+                Change::Admission(classes, fraction) => {
+                    let admissions = classes.into_iter().map(|class| (class, fraction));
+                    applied.admissions.extend(admissions);
+                }
             }
         }
         if let Some(nonce) = message.ack_nonce {
@@ -273,12 +311,6 @@
     }
 }
 
-fn joined_event(proxy: u16, is_new: bool) -> String {
-    format!(
-        "{{\"method\":\"joined\",\"params\":{{\"id\":{proxy},\"site\":\"a\",\"rps\":4.0,\"new\":{is_new}}}}}\n"
-    )
-}
-
 fn parse_change(verb: &str, change: &Value) -> Change {
     let host = || change["target"].as_str().expect("no host").to_string();
     match verb {
@@ -286,7 +318,12 @@
             0.0 => Change::Remove(host()),
             weight => Change::Set(host(), weight),
         },
-        "admit" => Change::Admission,
+        "admit" => {
+            let classes = change["routes"].as_array().expect("no classes");
+            let classes = classes.iter().filter_map(Value::as_str);
+            let fraction = change["admit"].as_f64().expect("no fraction");
+            Change::Admission(classes.map(String::from).collect(), fraction)
+        }
         other => panic!("'{other}' is not a change that this relay knows"),
     }
 }
--- a/crates/cli/tests/platform/fake_registry.rs
+++ b/crates/cli/tests/platform/fake_registry.rs
@@ -4,7 +4,7 @@
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -36,9 +36,28 @@
     }
 }
 
+/// What the endpoint list says of a host besides its state.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct HostAttributes {
+    pub address: SocketAddr,
+    pub zone: &'static str,
+    pub weight: f64,
+}
+
+impl HostAttributes {
+    /// Of a host that nobody connects to, in the only zone.
+    const PLAIN: HostAttributes = HostAttributes {
+        address: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 9),
+        zone: "a",
+        weight: 1.0,
+    };
+}
+
 #[derive(Default)]
 struct State {
     generation: u64,
+    /// The attributes of hosts that are not plain.
+    attributes: BTreeMap<String, HostAttributes>,
     listed: BTreeMap<String, ListedHost>,
     watchers: Vec<TcpStream>,
 }
@@ -51,10 +70,19 @@
 
 impl FakeRegistry {
     pub(crate) fn start(hosts: &[String]) -> FakeRegistry {
+        let plain = hosts
+            .iter()
+            .map(|host| (host.clone(), HostAttributes::PLAIN));
+        FakeRegistry::start_with(&plain.collect())
+    }
+
+    /// Starts it with hosts that have these attributes.
+    pub(crate) fn start_with(hosts: &BTreeMap<String, HostAttributes>) -> FakeRegistry {
         let (listener, address) = bind_listener();
-        let listed = hosts.iter().map(|host| (host.clone(), ListedHost::READY));
+        let listed = hosts.keys().map(|host| (host.clone(), ListedHost::READY));
         let state = Arc::new(Mutex::new(State {
             generation: 1,
+            attributes: hosts.clone(),
             listed: listed.collect(),
             ..State::default()
         }));
@@ -86,7 +114,8 @@
                 state.listed.insert(host.clone(), *listed);
             }
         }
-        let entries = changes.iter().map(|(host, listed)| entry(host, *listed));
+        let entries = changes.iter();
+        let entries = entries.map(|(host, listed)| state.entry(host, *listed));
         let list = json!({"generation": state.generation, "reset": false, "instances": entries.collect::<Vec<_>>()});
         let line = list.to_string();
         state
@@ -111,14 +140,21 @@
 impl State {
     fn complete_list(&self) -> Value {
         let listed = self.listed.iter();
-        let entries: Vec<Value> = listed.map(|(host, listed)| entry(host, *listed)).collect();
+        let entries = listed.map(|(host, listed)| self.entry(host, *listed));
+        let entries: Vec<Value> = entries.collect();
         json!({"generation": self.generation, "reset": true, "instances": entries})
     }
-}
 
-fn entry(host: &str, listed: ListedHost) -> Value {
-    json!({"instanceId": host, "hostPort": "127.0.0.1:9", "zone": "a", "machineType": "m", "cell": 1,
-        "lifecycle": listed.lifecycle, "weight": 1.0, "startedAtMs": listed.started_ms})
+    fn entry(&self, host: &str, listed: ListedHost) -> Value {
+        let attributes = self.attributes.get(host);
+        let HostAttributes {
+            address,
+            zone,
+            weight,
+        } = attributes.copied().unwrap_or(HostAttributes::PLAIN);
+        json!({"instanceId": host, "hostPort": address, "zone": zone, "machineType": "m", "cell": 1,
+            "lifecycle": listed.lifecycle, "weight": weight, "startedAtMs": listed.started_ms})
+    }
 }
 
 fn serve(listener: &TcpListener, state: &Arc<Mutex<State>>) {
--- /dev/null
+++ b/crates/cli/tests/platform/loaded_burst.rs
@@ -0,0 +1,111 @@
+//! Hosts that warm up must have room for a burst of requests, which controllers learn of seconds later, and for chance:
+//! a cold host takes a few requests in the span of the rule.
+
+use crate::fake_registry::ListedHost;
+use crate::loaded_fleet::{LoadedFleet, Settings};
+use crate::loaded_host::{HostProfile, OVERLOAD_MULTIPLE};
+use crate::loaded_soak::{host_name, unix_ms};
+use crate::loaded_world::DayParameters;
+use std::thread;
+use std::time::Duration;
+
+const HOSTS: usize = 30;
+const CONTROLLERS: usize = 3;
+/// What slow hosts can do, in terms of their listed weight.
+const SLOW_SPEED: f64 = 0.75;
+const INITIAL_CAPACITY: f64 = 0.17;
+const WARM_AFTER_S: f64 = 18.0;
+/// Requests in a burst, in terms of the usual ones.
+const BURST: f64 = 1.8;
+const BURST_S: f64 = 5.0;
+const AFTER_BURST_S: f64 = 4.0;
+/// Hosts that restart, two at a time, and the seconds between.
+const RESTARTS: usize = 12;
+const RESTART_INTERVAL_S: f64 = 1.2;
+
+/// Every other host is slow.
+fn profiles() -> Vec<(String, HostProfile)> {
+    let profile = |n: usize| HostProfile {
+        weight: 1.5,
+        full_rate: if n.is_multiple_of(2) {
+            7.0 * SLOW_SPEED
+        } else {
+            7.0
+        },
+        max_held: 24,
+        initial_capacity: INITIAL_CAPACITY,
+        warm_after_s: WARM_AFTER_S,
+    };
+    (0..HOSTS).map(|n| (host_name(n), profile(n))).collect()
+}
+
+fn wait_until(fleet: &LoadedFleet, second: f64) {
+    while fleet.world().now() < second {
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// Hosts restart under their names, and the lists say so at once.
+fn restart(fleet: &LoadedFleet, hosts: &[usize]) {
+    let listed = ListedHost {
+        lifecycle: "Ready",
+        started_ms: unix_ms(),
+    };
+    let mut changes = Vec::new();
+    for &n in hosts {
+        let mut world = fleet.world();
+        let now = world.now();
+        let host = world.hosts.get_mut(&host_name(n));
+        host.expect("a known host").start(now);
+        changes.push((host_name(n), listed));
+    }
+    for controller in 0..CONTROLLERS {
+        fleet.tell(controller, &changes);
+    }
+}
+
+#[test]
+fn warming_hosts_have_room_for_a_burst() {
+    let parameters = DayParameters {
+        utilization: 0.6,
+        grace_s: 2.4,
+        patience: 1.0,
+        repeated_share: 0.0,
+        avoided_for_s: 5.0,
+        report_delay_s: 0.8,
+    };
+    let settings = Settings {
+        proxies: 240,
+        controllers: CONTROLLERS,
+        initial_capacity: INITIAL_CAPACITY,
+        warm_after_s: WARM_AFTER_S,
+    };
+    let fleet = LoadedFleet::start(1, parameters, settings, &profiles());
+    let first_s = 8.0;
+    for n in (0..RESTARTS).step_by(2) {
+        wait_until(&fleet, first_s + RESTART_INTERVAL_S * (n / 2) as f64);
+        restart(&fleet, &[2 * n, 2 * n + 2]);
+    }
+    // The burst begins while the hosts are at different stages.
+    let burst_at = first_s + RESTART_INTERVAL_S * RESTARTS as f64 / 2.0;
+    wait_until(&fleet, burst_at);
+    fleet.world().burst = BURST;
+    wait_until(&fleet, burst_at + BURST_S);
+    fleet.world().burst = 1.0;
+    wait_until(&fleet, burst_at + BURST_S + AFTER_BURST_S);
+    let world = fleet.world();
+    let worst = world.most_likely.clone();
+    println!(
+        "{worst:?}; {:.4} overloads expected; fell over: {:?}",
+        world.expected_overloads, world.overloaded
+    );
+    drop(world);
+    assert!(
+        worst.load.sent <= OVERLOAD_MULTIPLE,
+        "{} is likely to be sent {:.2} times what it can do at {:.1} s, {:.1} s after its start",
+        worst.host,
+        worst.load.sent,
+        worst.at,
+        worst.load.age_s
+    );
+}
--- /dev/null
+++ b/crates/cli/tests/platform/loaded_host.rs
@@ -0,0 +1,232 @@
+//! A host that queues requests, can do less while it warms up, and falls over when it is sent too much meanwhile.
+//!
+//! Times are in seconds since the start of the fleet, work in mean requests.
+
+use std::collections::VecDeque;
+
+/// Multiple of its present capacity at which a warming host falls over, and the span over which it is counted. The
+/// span is longer by the time that the protocol allows on sockets.
+pub(crate) const OVERLOAD_MULTIPLE: f64 = 2.5;
+pub(crate) const OVERLOAD_SPAN_S: f64 = 2.3;
+/// Slack of the rule for chance, as a factor on the multiple.
+pub(crate) const CHANCE_FACTOR: f64 = 1.25;
+/// Share of the load that has to come from proxies that know of the start; with less, the rule does not apply.
+const INFORMED_SHARE: f64 = 2.0 / 3.0;
+
+/// What a host can do.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct HostProfile {
+    /// The weight that the endpoint list gives it.
+    pub weight: f64,
+    /// Requests per second that it can do when it is warm.
+    pub full_rate: f64,
+    /// Requests that it holds before it turns others away.
+    pub max_held: usize,
+    /// Share of its capacity that it has at its start, and the seconds until it has all of it.
+    pub initial_capacity: f64,
+    pub warm_after_s: f64,
+}
+
+/// A request at a host.
+#[derive(Clone, Debug)]
+pub(crate) struct Request {
+    pub proxy: usize,
+    pub class: usize,
+    pub work: f64,
+    pub sent_at: f64,
+    pub give_up_at: f64,
+    /// Whether the client repeats it when it fails.
+    pub may_repeat: bool,
+    /// Whether another host turned it away before, or the client repeats it.
+    pub is_retry: bool,
+}
+
+/// What the proxies' tables let a warming host expect, in mean requests per second.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ExpectedRate {
+    pub by_weights: f64,
+    /// The same without the hosts that proxies avoid.
+    pub with_avoidance: f64,
+}
+
+/// The end of a request at a host. There is no latency if the client gave up or the host stopped.
+pub(crate) struct RequestEnd {
+    pub request: Request,
+    pub latency_s: Option<f64>,
+}
+
+/// Work that was sent to a warming host.
+struct SentWork {
+    at: f64,
+    work: f64,
+    /// Whether the proxy knows of the host's start, or its controller has for longer than the grace period.
+    is_informed: bool,
+    is_retry: bool,
+    expected: ExpectedRate,
+}
+
+/// The load of a warming host within the span, as multiples of what it can do.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct WarmingLoad {
+    /// What it was sent, and the number of requests.
+    pub sent: f64,
+    pub requests: usize,
+    /// The part of what was sent that was turned away elsewhere or repeated by clients.
+    pub retried: f64,
+    /// What the weights that proxies hold let expect, without chance.
+    pub by_weights: f64,
+    /// The same without the hosts that proxies avoid.
+    pub expected: f64,
+    /// The part of what was sent that counts for the rule.
+    pub informed_share: f64,
+    pub age_s: f64,
+}
+
+impl WarmingLoad {
+    /// Returns whether the rule applies: enough of the load came from proxies that know of the start.
+    pub(crate) fn counts(&self) -> bool {
+        self.informed_share >= INFORMED_SHARE
+    }
+
+    pub(crate) fn is_overload(&self) -> bool {
+        self.sent > OVERLOAD_MULTIPLE * CHANCE_FACTOR
+    }
+}
+
+/// A host.
+pub(crate) struct LoadedHost {
+    pub profile: HostProfile,
+    pub is_up: bool,
+    /// When it started; negative for a host that was warm at the fleet's start.
+    pub started_at: f64,
+    /// When each controller was told of the start.
+    pub told_at: Vec<Option<f64>>,
+    /// A factor on what it can do.
+    pub speed: f64,
+    held: VecDeque<Request>,
+    worked_until: f64,
+    sent: VecDeque<SentWork>,
+}
+
+impl LoadedHost {
+    /// A warm host, of which all controllers know.
+    pub(crate) fn new(profile: HostProfile, controllers: usize) -> LoadedHost {
+        LoadedHost {
+            profile,
+            is_up: true,
+            started_at: -1e6,
+            told_at: vec![Some(-1e6); controllers],
+            speed: 1.0,
+            held: VecDeque::new(),
+            worked_until: 0.0,
+            sent: VecDeque::new(),
+        }
+    }
+
+    /// Starts its process.
+    pub(crate) fn start(&mut self, now: f64) {
+        self.is_up = true;
+        self.started_at = now;
+        self.told_at.fill(None);
+        self.worked_until = now;
+        self.speed = 1.0;
+        self.held.clear();
+        self.sent.clear();
+    }
+
+    pub(crate) fn is_warming(&self, now: f64) -> bool {
+        now - self.started_at < self.profile.warm_after_s
+    }
+
+    /// Returns the number of requests that it holds.
+    pub(crate) fn held(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Returns the requests per second that it can do now.
+    pub(crate) fn capacity(&self, now: f64) -> f64 {
+        let HostProfile {
+            full_rate,
+            initial_capacity,
+            warm_after_s,
+            ..
+        } = self.profile;
+        let age = (now - self.started_at) / warm_after_s;
+        full_rate * (initial_capacity + (1.0 - initial_capacity) * age).min(1.0)
+    }
+
+    /// Takes a request unless it holds too many. Returns the request if it does not take it.
+    pub(crate) fn take(&mut self, request: Request) -> Result<(), Request> {
+        if self.is_up && self.held.len() < self.profile.max_held {
+            self.held.push_back(request);
+            Ok(())
+        } else {
+            Err(request)
+        }
+    }
+
+    /// Works until `now`, in order. Requests whose client has given up are not begun. Returns the requests that ended.
+    pub(crate) fn work(&mut self, now: f64) -> Vec<RequestEnd> {
+        let mut budget = (now - self.worked_until).max(0.0) * self.capacity(now) * self.speed;
+        self.worked_until = now;
+        let is_up = self.is_up;
+        let is_given_up = |request: &Request| !is_up || now > request.give_up_at;
+        let (given_up, held): (VecDeque<_>, VecDeque<_>) =
+            self.held.drain(..).partition(is_given_up);
+        self.held = held;
+        let failed = given_up.into_iter().map(|request| RequestEnd {
+            request,
+            latency_s: None,
+        });
+        let mut ended: Vec<RequestEnd> = failed.collect();
+        while let Some(request) = self.held.front_mut() {
+            let done = request.work.min(budget);
+            request.work -= done;
+            budget -= done;
+            if request.work > 0.0 {
+                break;
+            }
+            ended.extend(self.held.pop_front().map(|request| RequestEnd {
+                latency_s: Some(now - request.sent_at),
+                request,
+            }));
+        }
+        ended
+    }
+
+    /// Counts a request that is sent to it while it warms up. Returns its load within the span.
+    pub(crate) fn count_sent(
+        &mut self,
+        now: f64,
+        request: &Request,
+        is_informed: bool,
+        expected: ExpectedRate,
+    ) -> WarmingLoad {
+        self.sent.push_back(SentWork {
+            at: now,
+            work: request.work,
+            is_informed,
+            is_retry: request.is_retry,
+            expected,
+        });
+        self.sent.retain(|sent| now - sent.at <= OVERLOAD_SPAN_S);
+        let capacity = self.capacity(now);
+        let work_of = |counts: fn(&SentWork) -> bool| -> f64 {
+            let sent = self.sent.iter().filter(|sent| counts(sent));
+            sent.map(|sent| sent.work).sum()
+        };
+        let mean_of = |rate: fn(&SentWork) -> f64| -> f64 {
+            self.sent.iter().map(rate).sum::<f64>() / self.sent.len() as f64 / capacity
+        };
+        let total = work_of(|_| true);
+        WarmingLoad {
+            sent: total / (capacity * OVERLOAD_SPAN_S),
+            requests: self.sent.len(),
+            retried: work_of(|sent| sent.is_retry) / (capacity * OVERLOAD_SPAN_S),
+            by_weights: mean_of(|sent| sent.expected.by_weights),
+            expected: mean_of(|sent| sent.expected.with_avoidance),
+            informed_share: work_of(|sent| sent.is_informed) / total.max(1e-9),
+            age_s: now - self.started_at,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/platform/loaded_soak.rs
@@ -0,0 +1,537 @@
+//! Seeded days of a release under faults, before several controllers: hosts queue, fail and differ in speed, proxies
+//! avoid hosts that fail them, streams break and move between controllers.
+//!
+//! The environment variable `LOADED_SEEDS` is the number of seeds, `LOADED_FIRST_SEED` the first one (1 by default),
+//! `LOADED_UTILIZATION` the share of the capacity that the requests use, if it is not drawn.
+
+use crate::channel_relay::CallFault;
+use crate::fake_registry::ListedHost;
+use crate::loaded_fleet::{LINE_LIMIT, LoadedFleet, MESSAGE_CAP, Settings};
+use crate::loaded_host::{CHANCE_FACTOR, HostProfile, OVERLOAD_MULTIPLE};
+use crate::loaded_world::{DayParameters, Overloaded};
+use fastrand::Rng;
+use std::net::TcpStream;
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Number of seeds without `LOADED_SEEDS`.
+const CI_SEEDS: u64 = 4;
+/// Runs at the same time.
+const PARALLEL_RUNS: usize = 4;
+const HOSTS: usize = 30;
+const PROXIES: usize = 240;
+const CONTROLLERS: usize = 3;
+/// The first fault, the last one, and the end of a day.
+const FAULTS_FROM_S: f64 = 3.5;
+const FAULTS_UNTIL_S: f64 = 48.0;
+const END_S: f64 = 56.0;
+const TICK: Duration = Duration::from_millis(50);
+/// Hosts that a wave of the release replaces, and the seconds between two waves.
+const WAVE_HOSTS: usize = 2;
+const WAVE_INTERVAL_S: (f64, f64) = (2.5, 6.5);
+/// Streams that break in a second, of all proxies together.
+const STREAM_BREAKS_PER_S: f64 = 20.0;
+/// Connections that a relay takes from one controller.
+const MAX_RELAY_CONNECTIONS: usize = 32;
+/// Shortest time from SIGTERM to SIGKILL.
+const TERM_TO_KILL: Duration = Duration::from_millis(700);
+
+/// What happens to a host next.
+#[derive(Clone, Copy, Debug)]
+enum HostStep {
+    Stop,
+    Start,
+}
+
+/// A change of the list that a controller is told later.
+struct Telling {
+    at: f64,
+    controller: usize,
+    changes: Vec<(String, ListedHost)>,
+}
+
+/// The measurements of a day.
+struct Outcome {
+    seed: u64,
+    parameters: DayParameters,
+    worst: Overloaded,
+    most_likely: Overloaded,
+    expected_overloads: f64,
+    overloaded: Vec<Overloaded>,
+    fell_uninformed: usize,
+    served_share: f64,
+    most_messages: usize,
+    most_waiting: f64,
+    most_connections: usize,
+    longest_step_s: f64,
+    faults: Vec<String>,
+    logs: Vec<String>,
+}
+
+impl Outcome {
+    fn are_limits_kept(&self) -> bool {
+        self.overloaded.is_empty()
+            && self.most_messages <= MESSAGE_CAP
+            && self.most_waiting <= LINE_LIMIT
+            && self.most_connections <= MAX_RELAY_CONNECTIONS
+    }
+
+    fn print(&self) {
+        let load = self.worst.load;
+        println!(
+            "seed {}: {} was sent {:.2} of {:.2} times what it can do ({} requests, {:.2} retried; {:.2} expected by weights, {:.2} with avoidance), {:.1} s after its start; at most {:.2} likely, {:.4} overloads expected; {} fell over by the rule, {} otherwise; {:.2} served at {:.2}; {} messages, {:.0} lines, {} relay connections; longest step {:.2} s",
+            self.seed,
+            self.worst.host,
+            load.sent,
+            OVERLOAD_MULTIPLE * CHANCE_FACTOR,
+            load.requests,
+            load.retried,
+            load.by_weights,
+            load.expected,
+            load.age_s,
+            self.most_likely.load.sent,
+            self.expected_overloads,
+            self.overloaded.len(),
+            self.fell_uninformed,
+            self.served_share,
+            self.parameters.utilization,
+            self.most_messages,
+            self.most_waiting,
+            self.most_connections,
+            self.longest_step_s,
+        );
+    }
+
+    /// Prints what is needed to trace a broken rule, and keeps the logs if `LOADED_LOGS` names a folder.
+    fn print_trace(&self) {
+        println!("  {:?}", self.parameters);
+        for overloaded in &self.overloaded {
+            println!("  fell over: {overloaded:?}");
+        }
+        self.faults.iter().for_each(|fault| println!("  {fault}"));
+        if let Ok(folder) = std::env::var("LOADED_LOGS") {
+            for (index, log) in self.logs.iter().enumerate() {
+                let path = format!("{folder}/seed-{}-n{index}.log", self.seed);
+                std::fs::write(path, log).expect("cannot write the log");
+            }
+        }
+    }
+}
+
+/// A day with random faults.
+struct Day {
+    fleet: LoadedFleet,
+    random: Rng,
+    parameters: DayParameters,
+    steps: Vec<(f64, HostStep, String)>,
+    tellings: Vec<Telling>,
+    /// When the last burst, the last delay of reports and the last slow host end.
+    burst_until: f64,
+    reports_late_until: f64,
+    faults: Vec<String>,
+    crowd: Vec<TcpStream>,
+}
+
+pub(crate) fn host_name(n: usize) -> String {
+    format!("host-{n}")
+}
+
+pub(crate) fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.expect("the clock is before 1970").as_millis() as u64
+}
+
+fn between(random: &mut Rng, (from, to): (f64, f64)) -> f64 {
+    from + (to - from) * random.f64()
+}
+
+fn draw_profiles(random: &mut Rng) -> Vec<(String, HostProfile)> {
+    /// Weight of the kinds, and work per second and unit of weight.
+    const KIND_WEIGHTS: [f64; 2] = [1.5, 2.0];
+    const RATE_PER_WEIGHT: f64 = 4.5;
+    let kinds: Vec<(f64, f64)> = KIND_WEIGHTS
+        .iter()
+        .map(|_| (between(random, (0.17, 0.43)), between(random, (5.3, 18.0))))
+        .collect();
+    (0..HOSTS)
+        .map(|n| {
+            let kind = random.usize(0..KIND_WEIGHTS.len());
+            let (initial_capacity, warm_after_s) = kinds[kind];
+            // Hosts differ from their listed weight by some 20%.
+            let speed = 0.65 + 0.7 * (random.f64() + random.f64()) / 2.0;
+            let cores = kind + 1;
+            let profile = HostProfile {
+                weight: KIND_WEIGHTS[kind],
+                full_rate: KIND_WEIGHTS[kind] * RATE_PER_WEIGHT * speed,
+                max_held: cores * random.usize(8..=24),
+                initial_capacity,
+                warm_after_s,
+            };
+            (host_name(n), profile)
+        })
+        .collect()
+}
+
+impl Day {
+    fn new(seed: u64) -> Day {
+        let mut random = Rng::with_seed(seed);
+        let utilization = between(&mut random, (0.5, 0.72));
+        let stated = std::env::var("LOADED_UTILIZATION").ok();
+        let parameters = DayParameters {
+            utilization: stated.map_or(utilization, |value| value.parse().expect("a number")),
+            grace_s: between(&mut random, (2.0, 3.4)),
+            patience: between(&mut random, (0.4, 1.0)),
+            repeated_share: [0.0, 1.0][random.usize(0..2)],
+            avoided_for_s: between(&mut random, (2.2, 7.7)),
+            report_delay_s: between(&mut random, (0.35, 1.4)),
+        };
+        let settings = Settings {
+            proxies: PROXIES,
+            controllers: CONTROLLERS,
+            initial_capacity: 0.17,
+            warm_after_s: 18.0,
+        };
+        let profiles = draw_profiles(&mut random);
+        Day {
+            fleet: LoadedFleet::start(seed, parameters.clone(), settings, &profiles),
+            random,
+            parameters,
+            steps: Vec::new(),
+            tellings: Vec::new(),
+            burst_until: 0.0,
+            reports_late_until: 0.0,
+            faults: Vec::new(),
+            crowd: Vec::new(),
+        }
+    }
+
+    fn note(&mut self, fault: &str) {
+        let now = self.fleet.world().now();
+        self.faults.push(format!("{now:6.2} s: {fault}"));
+    }
+
+    fn run(mut self, seed: u64) -> Outcome {
+        let mut wave_at = FAULTS_FROM_S;
+        let mut crash_at = between(&mut self.random, (8.0, 14.0));
+        let mut fault_at = FAULTS_FROM_S + 4.0;
+        let mut signal_at = 24.5;
+        loop {
+            let now = self.fleet.world().now();
+            if now >= END_S {
+                break;
+            }
+            self.advance(now);
+            let is_open = now < FAULTS_UNTIL_S;
+            if is_open && now >= wave_at {
+                wave_at = now + between(&mut self.random, WAVE_INTERVAL_S);
+                self.replace_hosts(now);
+            }
+            if is_open && now >= crash_at {
+                crash_at = now + between(&mut self.random, (8.0, 25.0));
+                self.crash_hosts(now);
+            }
+            if is_open && now >= signal_at {
+                signal_at = now + between(&mut self.random, (6.0, 20.0));
+                self.reload();
+            }
+            if is_open && now >= fault_at {
+                fault_at = now + between(&mut self.random, (1.0, 5.0));
+                self.inject(now);
+            }
+            self.break_streams(now);
+            thread::sleep(TICK);
+        }
+        self.outcome(seed)
+    }
+
+    fn outcome(self, seed: u64) -> Outcome {
+        let relays = || (0..CONTROLLERS).map(|index| self.fleet.relay(index));
+        let world = self.fleet.world();
+        Outcome {
+            seed,
+            parameters: self.parameters.clone(),
+            worst: world.worst.clone(),
+            most_likely: world.most_likely.clone(),
+            expected_overloads: world.expected_overloads,
+            overloaded: world.overloaded.clone(),
+            fell_uninformed: world.fell_uninformed,
+            served_share: world.answered as f64 / world.asked as f64,
+            most_messages: relays()
+                .map(|relay| relay.most_messages())
+                .max()
+                .unwrap_or(0),
+            most_waiting: relays()
+                .map(|relay| relay.most_waiting())
+                .fold(0.0, f64::max),
+            most_connections: relays()
+                .map(|relay| relay.connections().1)
+                .max()
+                .unwrap_or(0),
+            longest_step_s: world.longest_step_s,
+            faults: self.faults.clone(),
+            logs: self
+                .fleet
+                .controllers
+                .iter()
+                .map(|controller| controller.process.log())
+                .collect(),
+        }
+    }
+
+    /// Does what is due for hosts and lists.
+    fn advance(&mut self, now: f64) {
+        let (due, later) = self.steps.drain(..).partition(|(at, ..)| *at <= now);
+        self.steps = later;
+        let due: Vec<(f64, HostStep, String)> = due;
+        for (_, step, host) in due {
+            match step {
+                HostStep::Stop => {
+                    self.fleet
+                        .world()
+                        .hosts
+                        .get_mut(&host)
+                        .expect("a known host")
+                        .is_up = false;
+                }
+                HostStep::Start => self.start_host(&host),
+            }
+        }
+        let (due, later) = self
+            .tellings
+            .drain(..)
+            .partition(|telling| telling.at <= now);
+        self.tellings = later;
+        let due: Vec<Telling> = due;
+        for telling in due {
+            self.fleet.tell(telling.controller, &telling.changes);
+        }
+        let mut world = self.fleet.world();
+        if now >= self.burst_until {
+            world.burst = 1.0;
+        }
+        if now >= self.reports_late_until {
+            world.late_reports_s = 0.0;
+        }
+    }
+
+    /// Starts a host; the lists show it a moment later.
+    fn start_host(&mut self, host: &str) {
+        let now = self.fleet.world().now();
+        self.fleet
+            .world()
+            .hosts
+            .get_mut(host)
+            .expect("a known host")
+            .start(now);
+        let listed = ListedHost {
+            lifecycle: "Ready",
+            started_ms: unix_ms(),
+        };
+        let late = between(&mut self.random, (0.27, 2.5));
+        self.tell_all(now + late, &[(host.to_string(), listed)]);
+    }
+
+    /// Tells all controllers of a change, each a little earlier or later.
+    fn tell_all(&mut self, at: f64, changes: &[(String, ListedHost)]) {
+        for controller in 0..CONTROLLERS {
+            self.tellings.push(Telling {
+                at: at + 0.3 * self.random.f64(),
+                controller,
+                changes: changes.to_vec(),
+            });
+        }
+    }
+
+    /// Hosts that are up and that nothing is going to happen to.
+    fn idle_hosts(&mut self, count: usize) -> Vec<String> {
+        let world = self.fleet.world();
+        let is_idle = |id: &String| !self.steps.iter().any(|(_, _, host)| host == id);
+        let up = world.hosts.iter().filter(|(_, host)| host.is_up);
+        let mut idle: Vec<String> = up.map(|(id, _)| id.clone()).filter(is_idle).collect();
+        drop(world);
+        self.random.shuffle(&mut idle);
+        idle.truncate(count);
+        idle
+    }
+
+    /// A wave of the release: hosts drain, end, and start again cold.
+    fn replace_hosts(&mut self, now: f64) {
+        let hosts = self.idle_hosts(WAVE_HOSTS);
+        self.note(&format!("release of {hosts:?}"));
+        let listed = |lifecycle| ListedHost {
+            lifecycle,
+            started_ms: 0,
+        };
+        let of_all = |lifecycle| -> Vec<(String, ListedHost)> {
+            hosts
+                .iter()
+                .map(|host| (host.clone(), listed(lifecycle)))
+                .collect()
+        };
+        let stops_at = now + between(&mut self.random, (3.8, 5.3));
+        let starts_at = stops_at + between(&mut self.random, (1.5, 4.5));
+        self.tell_all(now, &of_all("Terminating"));
+        let gone_at = stops_at + between(&mut self.random, (0.8, 4.6));
+        if gone_at < starts_at {
+            self.tell_all(gone_at, &of_all("Gone"));
+        }
+        for host in hosts {
+            self.steps.push((stops_at, HostStep::Stop, host.clone()));
+            self.steps.push((starts_at, HostStep::Start, host));
+        }
+    }
+
+    /// Hosts die and start again before the list shows that they are gone.
+    fn crash_hosts(&mut self, now: f64) {
+        let hosts = self.idle_hosts(2);
+        self.note(&format!("crash of {hosts:?}"));
+        let starts_at = now + between(&mut self.random, (0.5, 5.8));
+        for host in hosts {
+            self.steps.push((now, HostStep::Stop, host.clone()));
+            self.steps.push((starts_at, HostStep::Start, host));
+        }
+    }
+
+    /// Streams break, and join the same or another controller later.
+    fn break_streams(&mut self, now: f64) {
+        let expected = STREAM_BREAKS_PER_S * TICK.as_secs_f64();
+        let count = expected as usize + usize::from(self.random.f64() < expected.fract());
+        for _ in 0..count {
+            let proxy = self.random.usize(0..PROXIES);
+            let rejoins_at = now + between(&mut self.random, (0.3, 3.5));
+            let controller = self.random.usize(0..CONTROLLERS);
+            let mut world = self.fleet.world();
+            if world.proxies[proxy].controller.is_some() {
+                world.break_stream(proxy, rejoins_at, controller);
+            }
+        }
+    }
+
+    /// One to three controllers are moved by SIGHUP, some of them several times in a row.
+    fn reload(&mut self) {
+        let controller = self.random.usize(0..CONTROLLERS);
+        let now = self.fleet.world().now();
+        self.fleet.world().grace_from = now + 4.0;
+        for _ in 0..self.random.usize(1..=3) {
+            self.note(&format!("SIGHUP to n{controller}"));
+            self.fleet.move_upstreams(controller);
+        }
+    }
+
+    fn inject(&mut self, now: f64) {
+        let controller = self.random.usize(0..CONTROLLERS);
+        match self.random.u32(0..14) {
+            0..=2 => {
+                let factor = between(&mut self.random, (1.3, 1.8));
+                self.burst_until = now + between(&mut self.random, (3.3, 8.7));
+                self.fleet.world().burst = factor;
+                self.note(&format!(
+                    "burst of {factor:.2} until {:.1} s",
+                    self.burst_until
+                ));
+            }
+            3 | 4 => {
+                self.reports_late_until = now + between(&mut self.random, (8.0, 24.0));
+                self.fleet.world().late_reports_s = between(&mut self.random, (1.0, 3.6));
+                self.note("reports are late");
+            }
+            5..=7 => {
+                for host in self.idle_hosts(2) {
+                    let speed = between(&mut self.random, (0.15, 0.5));
+                    self.note(&format!("{host} is slow: {speed:.2}"));
+                    self.fleet
+                        .world()
+                        .hosts
+                        .get_mut(&host)
+                        .expect("a known host")
+                        .speed = speed;
+                }
+            }
+            8 => self.lose_calls(controller),
+            9 => {
+                self.note(&format!("membership watch of n{controller} broken"));
+                self.fleet.world().grace_from = now + 4.0;
+                self.fleet.relay(controller).break_membership_watches();
+            }
+            10 => {
+                self.note(&format!("registry watch of n{controller} broken"));
+                self.fleet.controllers[controller].registry.break_watches();
+            }
+            11 => self.restart_controller(controller),
+            12 => self.crowd(controller),
+            _ => {
+                self.note("a third of all streams break");
+                for proxy in 0..PROXIES / 3 {
+                    let rejoins_at = now + between(&mut self.random, (0.3, 2.3));
+                    let mut world = self.fleet.world();
+                    world.break_stream(proxy * 3, rejoins_at, controller);
+                }
+            }
+        }
+    }
+
+    fn lose_calls(&mut self, controller: usize) {
+        let fault = [CallFault::ResponseLost, CallFault::Busy][self.random.usize(0..2)];
+        self.note(&format!("calls of n{controller}: {fault:?}"));
+        self.fleet.relay(controller).set_fault(fault);
+        thread::sleep(Duration::from_millis(self.random.u64(100..700)));
+        self.fleet.relay(controller).set_fault(CallFault::None);
+        let now = self.fleet.world().now();
+        self.fleet.world().grace_from = now + 1.5;
+    }
+
+    /// Ends a controller, with or without SIGTERM before SIGKILL. Its clients keep using their connections until the kill.
+    fn restart_controller(&mut self, controller: usize) {
+        let is_planned = self.random.bool();
+        self.fleet.send_proxies_elsewhere(controller);
+        if is_planned {
+            self.note(&format!("SIGTERM to n{controller}"));
+            self.fleet.controllers[controller].process.signal("-TERM");
+            thread::sleep(TERM_TO_KILL);
+        }
+        self.note(&format!("SIGKILL to n{controller}"));
+        self.fleet.restart_controller(controller);
+    }
+
+    /// Hundreds of strangers connect and say nothing, until the next crowd.
+    fn crowd(&mut self, controller: usize) {
+        self.note(&format!("crowd at n{controller}"));
+        let listen = self.fleet.controllers[controller].process.listen;
+        let timeout = Duration::from_millis(50);
+        self.crowd = (0..300)
+            .filter_map(|_| TcpStream::connect_timeout(&listen, timeout).ok())
+            .collect();
+    }
+}
+
+fn from_environment(name: &str, default: u64) -> u64 {
+    let value = std::env::var(name).ok();
+    value.map_or(default, |value| value.parse().expect("not a number"))
+}
+
+#[test]
+fn no_warming_host_is_overloaded_in_a_release_before_three_controllers() {
+    let first = from_environment("LOADED_FIRST_SEED", 1);
+    let seeds = from_environment("LOADED_SEEDS", CI_SEEDS);
+    let parallel = from_environment("LOADED_PARALLEL", PARALLEL_RUNS as u64);
+    let mut broken_seeds = Vec::new();
+    let seeds: Vec<u64> = (first..first + seeds).collect();
+    for batch in seeds.chunks(parallel as usize) {
+        let runs: Vec<_> = batch
+            .iter()
+            .map(|&seed| thread::spawn(move || Day::new(seed).run(seed)))
+            .collect();
+        for run in runs {
+            let outcome = run.join().expect("a thread panicked");
+            outcome.print();
+            if !outcome.are_limits_kept() {
+                outcome.print_trace();
+                broken_seeds.push(outcome.seed);
+            }
+        }
+    }
+    assert!(
+        broken_seeds.is_empty(),
+        "rules were broken with seeds {broken_seeds:?}"
+    );
+}
--- /dev/null
+++ b/crates/cli/tests/platform/loaded_world.rs
@@ -0,0 +1,554 @@
+//! Hosts and proxies under load, moved on in small steps of real time: what clients send, what proxies pick by the tables
+//! of their controllers' relays, what hosts do with it, and the reports about it.
+//!
+//! Times are in seconds since the start of the fleet, work in mean requests.
+
+use crate::channel_relay::ChannelRelay;
+use crate::loaded_host::{
+    CHANCE_FACTOR, ExpectedRate, HostProfile, LoadedHost, OVERLOAD_MULTIPLE, OVERLOAD_SPAN_S,
+    Request, RequestEnd, WarmingLoad,
+};
+use crate::loaded_proxy::LoadedProxy;
+use crate::scripted_peers::resp_message;
+use fastrand::Rng;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Instant;
+
+pub(crate) const ZONES: [&str; 4] = ["ede", "arnhem", "utrecht", "amersfoort"];
+const CLASSES: usize = 3;
+pub(crate) const CLASS_NAMES: [&str; CLASSES] = ["proof", "order", "release"];
+const CLASS_SHARES: [f64; CLASSES] = [0.48, 0.40, 0.12];
+/// Mean work of each class, in terms of the mean of all.
+const CLASS_WORK: [f64; CLASSES] = [1.27, 0.75, 0.75];
+/// Time after which clients give up, by class.
+const GIVE_UP_S: [f64; CLASSES] = [4.0, 3.0, 2.5];
+/// Coefficient of variation of the work of a request.
+const WORK_VARIATION: f64 = 0.7;
+/// Work of a new connection for the host.
+const CONNECTION_WORK: f64 = 0.14;
+/// Time before a client repeats a request that failed.
+const REPEAT_AFTER_S: f64 = 0.2;
+/// How often the load that tables let expect is computed.
+const EXPECTATION_INTERVAL_S: f64 = 0.1;
+/// Added to the grace period on sockets.
+const GRACE_SLACK_S: f64 = 0.3;
+/// Time after which a change of the list has reached the proxies.
+const INFORMED_AFTER_S: f64 = 0.8;
+/// Standard deviations above the mean up to which a load counts as likely.
+const LIKELY_DEVIATIONS: f64 = 2.0;
+/// Time from a controller's first answer until the rules apply to it.
+const RULES_START_AFTER_S: f64 = 1.0;
+
+/// What differs from day to day.
+#[derive(Clone, Debug)]
+pub(crate) struct DayParameters {
+    /// Share of the warm fleet's capacity that the requests use.
+    pub utilization: f64,
+    /// Grace period of the rules on draining and on warming hosts.
+    pub grace_s: f64,
+    /// Share of the time-out after which a client gives up an attempt.
+    pub patience: f64,
+    /// Share of the failed requests that clients repeat once.
+    pub repeated_share: f64,
+    /// How long a proxy avoids a host that failed it.
+    pub avoided_for_s: f64,
+    /// How late reports arrive.
+    pub report_delay_s: f64,
+}
+
+/// Outcomes of attempts at one host.
+#[derive(Default)]
+struct Outcomes {
+    attempts: u64,
+    failures: u64,
+    latency_s: f64,
+}
+
+/// What the proxies of one controller met since its last report.
+#[derive(Default)]
+struct Reported {
+    outcomes: BTreeMap<(&'static str, String), Outcomes>,
+    arrivals: BTreeMap<(usize, usize), u64>,
+}
+
+/// Reports on their way to one controller: the collector of a zone, and what it sends.
+pub(crate) type ReportSender = std::sync::mpsc::Sender<(&'static str, Vec<u8>)>;
+
+/// One controller as the world sees it.
+pub(crate) struct ControllerLink {
+    pub relay: Arc<ChannelRelay>,
+    pub reports: ReportSender,
+    /// When its process first answered; none while it is down.
+    pub ready_at: Option<f64>,
+    reported: Reported,
+    on_their_way: Vec<(f64, &'static str, Vec<u8>)>,
+}
+
+impl ControllerLink {
+    pub(crate) fn new(relay: Arc<ChannelRelay>, reports: ReportSender) -> ControllerLink {
+        ControllerLink {
+            relay,
+            reports,
+            ready_at: None,
+            reported: Reported::default(),
+            on_their_way: Vec::new(),
+        }
+    }
+}
+
+/// A warming host that was sent much.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Overloaded {
+    pub host: String,
+    pub at: f64,
+    pub load: WarmingLoad,
+}
+
+/// The hosts and proxies.
+pub(crate) struct World {
+    pub started: Instant,
+    pub parameters: DayParameters,
+    pub random: Rng,
+    pub hosts: BTreeMap<String, LoadedHost>,
+    pub proxies: Vec<LoadedProxy>,
+    pub controllers: Vec<ControllerLink>,
+    /// Factor on the rate of all requests.
+    pub burst: f64,
+    /// Added to the delay of reports.
+    pub late_reports_s: f64,
+    /// Grace periods start at this time at the earliest.
+    pub grace_from: f64,
+    /// Repeated requests: when, of which proxy and class.
+    repeats: Vec<(f64, usize, usize)>,
+    expected_rates: BTreeMap<String, ExpectedRate>,
+    expected_at: f64,
+    reported_at: f64,
+    pub worst: Overloaded,
+    /// The largest load that the proxies' tables make likely: the mean and two standard deviations.
+    pub most_likely: Overloaded,
+    /// Number of hosts that the proxies' tables let expect to fall over.
+    pub expected_overloads: f64,
+    /// Hosts that fell over, where the rule applies.
+    pub overloaded: Vec<Overloaded>,
+    /// Hosts that fell over, though most of the load came from proxies that could not know.
+    pub fell_uninformed: usize,
+    pub asked: u64,
+    pub answered: u64,
+    stepped_at: f64,
+    /// The longest time between two steps; a long one makes a burst of the requests of that time.
+    pub longest_step_s: f64,
+}
+
+impl World {
+    pub(crate) fn new(seed: u64, parameters: DayParameters) -> World {
+        World {
+            started: Instant::now(),
+            parameters,
+            random: Rng::with_seed(seed),
+            hosts: BTreeMap::new(),
+            proxies: Vec::new(),
+            controllers: Vec::new(),
+            burst: 1.0,
+            late_reports_s: 0.0,
+            grace_from: 0.0,
+            repeats: Vec::new(),
+            expected_rates: BTreeMap::new(),
+            expected_at: 0.0,
+            reported_at: 0.0,
+            worst: Overloaded::default(),
+            most_likely: Overloaded::default(),
+            expected_overloads: 0.0,
+            overloaded: Vec::new(),
+            fell_uninformed: 0,
+            asked: 0,
+            answered: 0,
+            stepped_at: 0.0,
+            longest_step_s: 0.0,
+        }
+    }
+
+    pub(crate) fn now(&self) -> f64 {
+        self.started.elapsed().as_secs_f64()
+    }
+
+    /// Adds warm hosts and proxies; each proxy gets its part of the requests.
+    pub(crate) fn add_fleet(&mut self, hosts: &[(String, HostProfile)], proxies: usize) {
+        let controllers = self.controllers.len();
+        for (host, profile) in hosts {
+            let added = LoadedHost::new(*profile, controllers);
+            self.hosts.insert(host.clone(), added);
+        }
+        let capacity: f64 = hosts.iter().map(|(_, profile)| profile.full_rate).sum();
+        let mean_rate = capacity * self.parameters.utilization / proxies as f64;
+        for n in 0..proxies {
+            let rate = mean_rate * (0.5 + self.random.f64());
+            let mut proxy = LoadedProxy::new(ZONES[n % ZONES.len()], rate);
+            proxy.next_request_at = self.random.f64() / rate;
+            self.proxies.push(proxy);
+        }
+    }
+
+    /// Moves on to the present.
+    pub(crate) fn step(&mut self) {
+        let now = self.now();
+        if self.stepped_at > 0.0 {
+            self.longest_step_s = self.longest_step_s.max(now - self.stepped_at);
+        }
+        self.stepped_at = now;
+        self.apply_tables();
+        self.rejoin_proxies(now);
+        self.work(now);
+        if now - self.expected_at >= EXPECTATION_INTERVAL_S {
+            self.expected_at = now;
+            self.expect_load(now);
+        }
+        self.send_requests(now);
+        if now - self.reported_at >= 1.0 {
+            self.reported_at = now;
+            self.collect_reports(now);
+        }
+        self.deliver_reports(now);
+    }
+
+    /// Gives the joined proxies what their controller's relay has delivered.
+    fn apply_tables(&mut self) {
+        for (index, controller) in self.controllers.iter().enumerate() {
+            for (id, table) in controller.relay.applied_tables() {
+                let proxy = &mut self.proxies[usize::from(id)];
+                let is_delivered = table.updated_at.is_some();
+                if proxy.controller == Some(index) && is_delivered {
+                    proxy.table = table;
+                    proxy.table_of = index;
+                }
+            }
+        }
+    }
+
+    /// Breaks a proxy's stream. It joins another or the same controller later.
+    pub(crate) fn break_stream(&mut self, proxy: usize, rejoins_at: f64, controller: usize) {
+        if let Some(before) = self.proxies[proxy].controller.take() {
+            self.controllers[before].relay.leave(proxy as u16);
+            self.controllers[before].relay.forget_table(proxy as u16);
+        }
+        self.proxies[proxy].rejoins = Some((rejoins_at, controller));
+    }
+
+    fn rejoin_proxies(&mut self, now: f64) {
+        for id in 0..self.proxies.len() {
+            let Some((at, controller)) = self.proxies[id].rejoins else {
+                continue;
+            };
+            if now < at {
+                continue;
+            }
+            if self.controllers[controller].ready_at.is_none() {
+                // It finds nobody, and dials another one.
+                let next = (controller + 1) % self.controllers.len();
+                self.proxies[id].rejoins = Some((now + 0.2, next));
+                continue;
+            }
+            self.proxies[id].rejoins = None;
+            self.proxies[id].controller = Some(controller);
+            self.controllers[controller].relay.join(id as u16);
+        }
+    }
+
+    fn work(&mut self, now: f64) {
+        let mut ended: Vec<(String, RequestEnd)> = Vec::new();
+        for (id, host) in &mut self.hosts {
+            let of_host = host.work(now).into_iter();
+            ended.extend(of_host.map(|end| (id.clone(), end)));
+        }
+        for (host, end) in ended {
+            self.record_end(&host, &end, now);
+        }
+    }
+
+    /// Records the outcome of an attempt at its proxy and for the report.
+    fn record_end(&mut self, host: &str, end: &RequestEnd, now: f64) {
+        let RequestEnd { request, latency_s } = end;
+        let proxy = &mut self.proxies[request.proxy];
+        match latency_s {
+            Some(_) => {
+                self.answered += 1;
+                proxy.on_success(host);
+            }
+            None => {
+                proxy.on_failure(host, self.parameters.avoided_for_s, now);
+                if request.may_repeat {
+                    let repeat = (now + REPEAT_AFTER_S, request.proxy, request.class);
+                    self.repeats.push(repeat);
+                }
+            }
+        }
+        let Some(controller) = proxy.controller else {
+            return;
+        };
+        let reported = &mut self.controllers[controller].reported;
+        let key = (proxy.zone, host.to_string());
+        let outcomes = reported.outcomes.entry(key).or_default();
+        outcomes.attempts += 1;
+        outcomes.failures += u64::from(latency_s.is_none());
+        outcomes.latency_s += latency_s.unwrap_or(0.0);
+    }
+
+    /// Computes what the tables of all proxies let expect at each warming host.
+    fn expect_load(&mut self, now: f64) {
+        let warming = self.hosts.iter();
+        let warming = warming.filter(|(_, host)| host.is_up && host.is_warming(now));
+        let mut rates: BTreeMap<String, ExpectedRate> = warming
+            .map(|(id, _)| (id.clone(), ExpectedRate::default()))
+            .collect();
+        for proxy in &self.proxies {
+            let by_class = CLASS_NAMES.iter().zip(CLASS_SHARES).zip(CLASS_WORK);
+            let admitted: f64 = by_class
+                .map(|((class, share), work)| proxy.admitted(class) * share * work)
+                .sum();
+            let rate = proxy.rate * self.burst * admitted;
+            for (host, expected) in &mut rates {
+                let (by_weights, with_avoidance) = proxy.shares_of(host, now);
+                expected.by_weights += rate * by_weights;
+                expected.with_avoidance += rate * with_avoidance;
+            }
+        }
+        for (host, expected) in &rates {
+            self.record_exposure(host, expected.with_avoidance, now);
+        }
+        self.expected_rates = rates;
+    }
+
+    /// Records how near the expected rate at a warming host comes to the rule's bound, where all controllers have known of
+    /// the start for long enough that their proxies have a message about it.
+    fn record_exposure(&mut self, host: &str, expected_rate: f64, now: f64) {
+        let state = &self.hosts[host];
+        let is_known =
+            |told_at: &Option<f64>| told_at.is_some_and(|at| now > at + INFORMED_AFTER_S);
+        if !state.told_at.iter().all(is_known) {
+            return;
+        }
+        let budget = OVERLOAD_MULTIPLE * state.capacity(now) * OVERLOAD_SPAN_S;
+        let mean = expected_rate * OVERLOAD_SPAN_S;
+        // The work of a request varies as well as their number.
+        let variance_factor = 1.0 + WORK_VARIATION * WORK_VARIATION;
+        let likely = mean + LIKELY_DEVIATIONS * (mean * variance_factor).sqrt();
+        let multiple = OVERLOAD_MULTIPLE * likely / budget;
+        if multiple > self.most_likely.load.sent {
+            let load = WarmingLoad {
+                sent: multiple,
+                expected: expected_rate / state.capacity(now),
+                age_s: now - state.started_at,
+                ..WarmingLoad::default()
+            };
+            self.most_likely = Overloaded {
+                host: host.to_string(),
+                at: now,
+                load,
+            };
+        }
+        let in_units = |work: f64| work / variance_factor;
+        let tail = poisson_tail(in_units(mean), in_units(budget * CHANCE_FACTOR));
+        self.expected_overloads += tail * EXPECTATION_INTERVAL_S / OVERLOAD_SPAN_S;
+    }
+
+    fn send_requests(&mut self, now: f64) {
+        let (due, later) = self.repeats.drain(..).partition(|(at, ..)| *at <= now);
+        self.repeats = later;
+        let due: Vec<(f64, usize, usize)> = due;
+        for (_, proxy, class) in due {
+            self.send_request(proxy, class, false, true, now);
+        }
+        for proxy in 0..self.proxies.len() {
+            while self.proxies[proxy].next_request_at <= now {
+                let rate = self.proxies[proxy].rate * self.burst;
+                let until_next = -(1.0 - self.random.f64()).ln() / rate;
+                self.proxies[proxy].next_request_at += until_next;
+                let drawn = self.random.f64();
+                let class = usize::from(drawn >= CLASS_SHARES[0])
+                    + usize::from(drawn >= CLASS_SHARES[0] + CLASS_SHARES[1]);
+                let may_repeat = self.random.f64() < self.parameters.repeated_share;
+                self.asked += 1;
+                self.send_request(proxy, class, may_repeat, false, now);
+            }
+        }
+    }
+
+    fn send_request(
+        &mut self,
+        proxy: usize,
+        class: usize,
+        may_repeat: bool,
+        is_repeat: bool,
+        now: f64,
+    ) {
+        if let Some(controller) = self.proxies[proxy].controller {
+            let reported = &mut self.controllers[controller].reported;
+            *reported.arrivals.entry((proxy, class)).or_default() += 1;
+        }
+        if self.random.f64() >= self.proxies[proxy].admitted(CLASS_NAMES[class]) {
+            return;
+        }
+        let variance = (1.0 + WORK_VARIATION * WORK_VARIATION).ln();
+        let normal = normal(&mut self.random);
+        let request = Request {
+            proxy,
+            class,
+            work: CLASS_WORK[class] * (variance.sqrt() * normal - variance / 2.0).exp(),
+            sent_at: now,
+            give_up_at: now + GIVE_UP_S[class] * self.parameters.patience,
+            may_repeat,
+            is_retry: is_repeat,
+        };
+        let Some(host) = self.proxies[proxy].pick(&mut self.random, None, now) else {
+            return;
+        };
+        let Err(mut request) = self.attempt(&host, request, now) else {
+            return;
+        };
+        request.is_retry = true;
+        // A request that was turned away is tried once more elsewhere.
+        if let Some(other) = self.proxies[proxy].pick(&mut self.random, Some(&host), now) {
+            self.attempt(&other, request, now).ok();
+        }
+    }
+
+    /// Sends a request to a host. Returns the request if the host turns it away.
+    fn attempt(&mut self, host_id: &str, mut request: Request, now: f64) -> Result<(), Request> {
+        let Some(host) = self.hosts.get_mut(host_id) else {
+            return Err(request);
+        };
+        let proxy = &mut self.proxies[request.proxy];
+        if host.is_up && proxy.connect(host_id, host.started_at, now) {
+            request.work += CONNECTION_WORK;
+        }
+        if host.is_up && host.is_warming(now) {
+            self.count_sent(host_id, &request, now);
+        }
+        let host = self.hosts.get_mut(host_id).expect("looked up before");
+        let Err(request) = host.take(request) else {
+            return Ok(());
+        };
+        let may_repeat = false;
+        let end = RequestEnd {
+            request: Request {
+                may_repeat,
+                ..request.clone()
+            },
+            latency_s: None,
+        };
+        self.record_end(host_id, &end, now);
+        Err(request)
+    }
+
+    /// Counts a request that is sent to a warming host, and lets the host fall over if it is one too many.
+    fn count_sent(&mut self, host_id: &str, request: &Request, now: f64) {
+        let is_informed = self.is_informed(request.proxy, host_id, now);
+        let expected = self.expected_rates.get(host_id);
+        let expected = expected.copied().unwrap_or_default();
+        let host = self.hosts.get_mut(host_id).expect("a known host");
+        let load = host.count_sent(now, request, is_informed, expected);
+        let overloaded = Overloaded {
+            host: host_id.to_string(),
+            at: now,
+            load,
+        };
+        if load.counts() && load.sent > self.worst.load.sent {
+            self.worst = overloaded.clone();
+        }
+        if !load.is_overload() {
+            return;
+        }
+        host.is_up = false;
+        if load.counts() {
+            self.overloaded.push(overloaded);
+        } else {
+            self.fell_uninformed += 1;
+        }
+    }
+
+    /// Returns whether a proxy knows of a host's start by its last message, or its controller has for longer than the
+    /// grace period.
+    fn is_informed(&self, proxy: usize, host: &str, now: f64) -> bool {
+        let proxy = &self.proxies[proxy];
+        let told_at = &self.hosts[host].told_at;
+        let Some(controller) = proxy.controller else {
+            return false;
+        };
+        let ready_at = self.controllers[controller].ready_at;
+        if ready_at.is_none_or(|at| now < at + RULES_START_AFTER_S) {
+            return false;
+        }
+        let updated_at = proxy.table.updated_at;
+        let updated_at = updated_at.map(|at| (at - self.started).as_secs_f64());
+        let knows = told_at[proxy.table_of]
+            .zip(updated_at)
+            .is_some_and(|(told_at, updated_at)| updated_at >= told_at);
+        let grace_s = self.parameters.grace_s + GRACE_SLACK_S;
+        let is_grace_over = told_at[controller]
+            .is_some_and(|told_at| now >= told_at.max(self.grace_from) + grace_s);
+        knows || is_grace_over
+    }
+
+    /// Puts what happened in the last second into reports.
+    fn collect_reports(&mut self, now: f64) {
+        let delay = self.parameters.report_delay_s + self.late_reports_s;
+        let hosts = &self.hosts;
+        for controller in &mut self.controllers {
+            let reported = std::mem::take(&mut controller.reported);
+            for ((zone, host), outcomes) in reported.outcomes {
+                let held = hosts.get(&host).map_or(0, LoadedHost::held);
+                let successes = outcomes.attempts - outcomes.failures;
+                let mean = outcomes.latency_s * 1e3 / (successes.max(1) as f64);
+                let message = resp_message(&format!(
+                    "heard site {zone} target {host} count {} fail {} mean {mean:.1} over 1000.0 util queue:{},util:{:.2}",
+                    outcomes.attempts,
+                    outcomes.failures,
+                    held.saturating_sub(1),
+                    if held == 0 { 0.4 } else { 1.0 }
+                ));
+                let report = (now + delay, zone, message);
+                controller.on_their_way.push(report);
+            }
+            for ((proxy, class), requests) in reported.arrivals {
+                let class = CLASS_NAMES[class];
+                let message = resp_message(&format!(
+                    "usage id {proxy} lane {class} count {requests} fail 0 over 1000.0"
+                ));
+                let report = (now + delay, ZONES[0], message);
+                controller.on_their_way.push(report);
+            }
+        }
+    }
+
+    fn deliver_reports(&mut self, now: f64) {
+        for controller in &mut self.controllers {
+            let (due, later) = controller
+                .on_their_way
+                .drain(..)
+                .partition(|(at, ..)| *at <= now);
+            controller.on_their_way = later;
+            let due: Vec<(f64, &'static str, Vec<u8>)> = due;
+            for (_, zone, message) in due {
+                // The collectors end with the fleet.
+                controller.reports.send((zone, message)).ok();
+            }
+        }
+    }
+}
+
+/// Draws from the normal distribution with mean 0 and variance 1, by the method of Box and Muller.
+fn normal(random: &mut Rng) -> f64 {
+    let radius = (-2.0 * (1.0 - random.f64()).ln()).sqrt();
+    radius * (std::f64::consts::TAU * random.f64()).cos()
+}
+
+/// Probability that a Poisson variable of this mean exceeds the limit.
+fn poisson_tail(mean: f64, limit: f64) -> f64 {
+    let mut term = (-mean).exp();
+    let mut sum = term;
+    for n in 1..=limit as u32 {
+        term *= mean / f64::from(n);
+        sum += term;
+    }
+    (1.0 - sum).max(0.0)
+}
--- a/crates/cli/tests/platform/warming_fleet.rs
+++ b/crates/cli/tests/platform/warming_fleet.rs
@@ -254,8 +254,8 @@
                 "usage id {proxy} lane proof count {count} fail 0 over {interval_ms}"
             )));
             let total: f64 = table.weights.values().sum();
-            for (host, weight) in table.weights {
-                *attempts.entry(host).or_default() += requests * weight / total;
+            for (host, weight) in &table.weights {
+                *attempts.entry(host.clone()).or_default() += requests * weight / total;
             }
         }
         for (host, attempts) in attempts {
--- a/crates/cli/tests/platform/warming_load.rs
+++ b/crates/cli/tests/platform/warming_load.rs
@@ -4,6 +4,7 @@
 use crate::channel_relay::{AppliedTable, ChannelRelay};
 use std::collections::{BTreeMap, VecDeque};
 use std::fmt;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Multiple of its present capacity at which a warming host is overloaded.
@@ -172,7 +173,7 @@
 
 fn table_lines(
     host: &str,
-    tables: &BTreeMap<u16, AppliedTable>,
+    tables: &BTreeMap<u16, Arc<AppliedTable>>,
     rate: impl Fn(u16) -> f64,
     now: Instant,
 ) -> Vec<TableLine> {
@@ -193,7 +194,7 @@
         &self,
         host: &str,
         warming: Warming,
-        tables: &BTreeMap<u16, AppliedTable>,
+        tables: &BTreeMap<u16, Arc<AppliedTable>>,
         rate: impl Fn(u16) -> f64,
         now: Instant,
         elapsed: f64,
