A warming host gets what it likely bears, with room for a burst

What callers saw: hosts that had just started fell over and stayed down (rule on overload), in a fleet near its limit.

Cause: the bound was on the mean: 1.5 times the highest load per weight, whatever the multiple and the span of the deployment. Reports show a burst seconds late, and a cold host takes a handful of requests in the span of the rule, so a burst and chance together exceed the multiple. The bound was also computed with the weights before the other hosts of the table were limited (placement.rs, shared_targets), and requests that are turned away and retried were not counted.

Change: warming_limit.rs gives the rate with which no likely number of requests in the span is an overload, for the requests of all controllers together, by fallMultiple and fall of the settings; weights leave room for 1.8 times the requests and count retries; a table's other hosts get the rest. Table admission goes by the same limit.

--- a/crates/cli/tests/platform/loaded_host.rs
+++ b/crates/cli/tests/platform/loaded_host.rs
@@ -47,6 +47,15 @@
     pub by_weights: f64,
     /// The same without the hosts that proxies avoid.
     pub with_avoidance: f64,
+    /// The part of that from proxies that know of the host's start.
+    pub informed: f64,
+}
+
+impl ExpectedRate {
+    /// Returns whether the rule applies.
+    pub(crate) fn counts(&self) -> bool {
+        self.informed >= self.with_avoidance * INFORMED_SHARE
+    }
 }
 
 /// The end of a request at a host. There is no latency if the client gave up or the host stopped.
--- a/crates/controller/src/admission_control.rs
+++ b/crates/controller/src/admission_control.rs
@@ -104,6 +104,11 @@
         self.overload
     }
 
+    /// Returns whether reports show the throughput of the fleet.
+    pub(crate) fn is_load_known(&self) -> bool {
+        self.evidence == LoadEvidence::Full
+    }
+
     /// Returns the fraction of all requests that the startup limit admits.
     pub(crate) fn startup_limit(&self) -> f64 {
         self.startup_limit.fraction()
--- a/crates/controller/src/config.rs
+++ b/crates/controller/src/config.rs
@@ -40,6 +40,10 @@
     pub initial_capacity: f64,
     /// Time until a started host reaches its full capacity.
     pub slow_start_window: Duration,
+    /// Multiple of its present capacity that a warming host must not be sent within `overload_span`; 0 if not configured.
+    pub overload_multiple: f64,
+    /// The span for `overload_multiple`; zero if not configured.
+    pub overload_span: Duration,
     /// Whether a host that is missing from the endpoint list may still be sent requests.
     pub removal_is_advisory: bool,
     /// Time within which proxies must stop sending to a host that is draining or was removed; zero if not configured.
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -26,6 +26,7 @@
 use crate::transitions::{HostTransition, TransitionLog};
 use crate::update_queue::UpdateQueue;
 use crate::usual_load::UsualLoad;
+use crate::warming_limit::OverloadRule;
 use std::collections::VecDeque;
 
 /// A controller of one deployment.
@@ -85,6 +86,7 @@
     /// What is admitted to each table, as of the current decision round.
     table_admissions: Vec<TableAdmission>,
     usual_load: UsualLoad,
+    overload_rule: OverloadRule,
     reports: LoadReports,
     outlier_detector: OutlierDetector,
     admission: AdmissionController,
@@ -127,6 +129,7 @@
             layout,
             table_admissions: vec![TableAdmission::default(); table_count],
             usual_load: UsualLoad::default(),
+            overload_rule: OverloadRule::new(&config),
             reports: LoadReports::new(report_interval),
             outlier_detector: OutlierDetector::new(&config),
             admission: AdmissionController::new(&config, now),
@@ -159,6 +162,7 @@
             update_policy: &self.update_policy,
             attempts_per_weight: self.attempts_per_weight(),
             usual_load: self.usual_load(),
+            warming_limit: self.warming_limit(),
         })
     }
 
--- a/crates/controller/src/controller/decide.rs
+++ b/crates/controller/src/controller/decide.rs
@@ -10,8 +10,9 @@
 use crate::placement::PlacementView;
 use crate::publishing::{Published, UpdateRound};
 use crate::statistics::EPSILON;
-use crate::table_admission::{TableAdmissionView, table_admissions};
+use crate::table_admission::{TableAdmission, TableAdmissionView, table_admissions};
 use crate::time::{DurationExt, Time};
+use crate::warming_limit::WarmingLimit;
 use crate::weight_reduction::update_weight_reductions;
 use std::time::Duration;
 
@@ -21,6 +22,8 @@
 /// together from polling, checking health and retrying in step.
 const MIN_TIMER_FACTOR: f64 = 0.9;
 const TIMER_FACTOR_RANGE: f64 = 0.2;
+/// Maximum of the measured attempts per admitted request: each request is retried at most once.
+const MAX_ATTEMPTS_PER_REQUEST: f64 = 2.0;
 
 /// Requests of the proxies in one decision round.
 pub(super) struct Traffic {
@@ -121,10 +124,31 @@
             proxies: &self.proxies,
             fractions: self.admission.fractions(),
             lowest_priority_first: self.admission.lowest_priority_first(),
-            usual_load: self.usual_load(),
+            warming_limit: self.warming_limit(),
         });
     }
 
+    /// Returns what warming hosts may be sent.
+    pub(super) fn warming_limit(&self) -> WarmingLimit {
+        let joined_proxies = self.proxies.iter().count();
+        self.overload_rule.limit(self.usual_load(), joined_proxies)
+    }
+
+    /// Returns the attempts per admitted request that reports show: more than one where hosts turn requests away, or
+    /// where requests rise faster than the measured demand.
+    fn attempts_per_request(&self) -> f64 {
+        if !self.admission.is_load_known() {
+            return 1.0;
+        }
+        let attempts = self.reports.throughput(self.hosts.iter()).attempts;
+        let admitted: f64 = self
+            .table_admissions
+            .iter()
+            .map(TableAdmission::admitted_rate)
+            .sum();
+        (attempts / admitted.max(EPSILON)).clamp(1.0, MAX_ATTEMPTS_PER_REQUEST)
+    }
+
     /// Returns the requests per second and unit of weight that the fleet's hosts usually serve.
     pub(super) fn usual_load(&self) -> f64 {
         let peak = self.admission.peak_per_weight();
@@ -195,8 +219,8 @@
             layout: &self.layout,
             reports: &self.reports,
             usage: &traffic.usage,
-            admitted_fraction: traffic.admitted_fraction,
-            usual_load: self.usual_load(),
+            attempts_per_arrival: traffic.admitted_fraction * self.attempts_per_request(),
+            warming_limit: self.warming_limit(),
         };
         self.placement.place_hosts(&mut self.hosts, &view);
     }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -38,6 +38,7 @@
 mod transitions;
 mod update_queue;
 mod usual_load;
+mod warming_limit;
 mod weight_reduction;
 
 pub use config::{AdmissionMode, DeploymentConfig, RequestClass, RetryPolicy};
--- a/crates/controller/src/placement.rs
+++ b/crates/controller/src/placement.rs
@@ -8,12 +8,11 @@
 use crate::load_reports::LoadReports;
 use crate::shards::{
     MAX_SHARED_HOSTS, MAX_TABLES_PER_HOST, MIN_TABLE_HOSTS, Shard, ShardAssignment, ShardDraw,
-    table_preference,
+    ShardMember, table_preference,
 };
-use crate::slow_start::MAX_WARMING_LOAD;
-use crate::statistics::EPSILON;
 use crate::tables::TableLayout;
 use crate::time::Time;
+use crate::warming_limit::{LimitedWeight, WarmingLimit, limited_weights};
 
 /// Minimum warm fraction for a usable host to count as warm enough, so that its table needs no stand-in for it.
 pub(crate) const MIN_WARM_ENOUGH_FRACTION: f64 = 0.5;
@@ -35,10 +34,10 @@
     pub(crate) reports: &'a LoadReports,
     /// Requests per second of the proxies of each shared table.
     pub(crate) usage: &'a [f64],
-    /// Admitted fraction of all requests.
-    pub(crate) admitted_fraction: f64,
-    /// Requests per second and unit of weight that the fleet's hosts usually serve.
-    pub(crate) usual_load: f64,
+    /// Attempts at hosts for each request that reaches a proxy, by what is admitted and retried.
+    pub(crate) attempts_per_arrival: f64,
+    /// What warming hosts may be sent.
+    pub(crate) warming_limit: WarmingLimit,
 }
 
 /// The current state of all hosts. The vectors other than `listed` are indexed like the host registry.
@@ -285,26 +284,17 @@
     /// Returns the target weights of the shared tables.
     ///
     /// A warming host is kept out of a table that is mostly warm but failing: proxies avoid failing hosts and would
-    /// send everything to the warming one. Elsewhere, its load per unit of current capacity is limited relative to the
-    /// fleet's usual load per weight, even if its table has few hosts or busy proxies.
+    /// send everything to the warming one.
     fn shared_targets(&self, assignment: &ShardAssignment, usage: &[f64]) -> Vec<TargetWeight> {
+        let shared_tables = self.view.layout.shared_tables();
         let mut targets = Vec::new();
         for (table, shard) in assignment.shards().iter().enumerate() {
             let excludes_warming_hosts = self.excludes_warming_hosts(shard);
-            let weights = shard
-                .iter()
-                .map(|member| self.fleet.weight[member.host] * member.weight_fraction);
-            let shard_weight: f64 = weights.sum();
-            let load = (usage[table] * self.view.admitted_fraction).max(EPSILON);
-            let limit = (MAX_WARMING_LOAD * self.view.usual_load * shard_weight / load).min(1.0);
-            for member in shard {
-                let is_warm = self.fleet.is_warm(member.host);
-                if !is_warm && excludes_warming_hosts {
-                    continue;
-                }
-                let factor = if is_warm { 1.0 } else { limit };
-                let weight = self.fleet.weight[member.host] * member.weight_fraction * factor;
-                let shared_tables = self.view.layout.shared_tables();
+            let is_included =
+                |member: &&ShardMember| !excludes_warming_hosts || self.fleet.is_warm(member.host);
+            let members: Vec<ShardMember> = shard.iter().filter(is_included).copied().collect();
+            let weights = self.table_weights(&members, usage[table]);
+            for (member, weight) in members.iter().zip(weights) {
                 let tables_of_shard = (table..shared_tables).step_by(usage.len());
                 targets.extend(tables_of_shard.map(|table| TargetWeight {
                     host: member.host,
@@ -316,6 +306,23 @@
         targets
     }
 
+    /// Returns the weights of the members of a table with this usage. The load of each warming host is limited, also if
+    /// its table has few hosts or busy proxies.
+    fn table_weights(&self, members: &[ShardMember], usage: f64) -> Vec<f64> {
+        let limited = members.iter().map(|member| {
+            let is_warm = self.fleet.is_warm(member.host);
+            let capacity =
+                self.hosts.at(member.host).weight() * self.fleet.warm_fraction[member.host];
+            let max_rate = self.view.warming_limit.rate_by_weight(capacity);
+            LimitedWeight {
+                weight: self.fleet.weight[member.host] * member.weight_fraction,
+                max_rate: (!is_warm).then_some(max_rate * member.weight_fraction),
+            }
+        });
+        let rate = usage * self.view.attempts_per_arrival;
+        limited_weights(&limited.collect::<Vec<_>>(), rate)
+    }
+
     /// Returns whether a table has enough warm hosts and a success ratio below the limit, so that warming hosts stay
     /// out.
     fn excludes_warming_hosts(&self, shard: &Shard) -> bool {
--- a/crates/controller/src/slow_start.rs
+++ b/crates/controller/src/slow_start.rs
@@ -6,9 +6,6 @@
 
 /// Minimum initial capacity, as a fraction of the full capacity.
 const MIN_INITIAL_CAPACITY: f64 = 0.01;
-/// Maximum load of a warming host per unit of its current capacity, relative to the fleet's usual load per weight. A
-/// host fails at twice its capacity or more.
-pub(crate) const MAX_WARMING_LOAD: f64 = 1.5;
 
 /// The slow start parameters of a deployment.
 pub(crate) struct SlowStart {
--- a/crates/controller/src/status.rs
+++ b/crates/controller/src/status.rs
@@ -8,11 +8,11 @@
 use crate::placement::MIN_WARM_ENOUGH_FRACTION;
 use crate::proxy::ProxyRegistry;
 use crate::publishing::UpdatePolicy;
-use crate::slow_start::MAX_WARMING_LOAD;
 use crate::statistics::{EPSILON, median};
 use crate::tables::TableState;
 use crate::time::Time;
 use crate::update_queue::{UpdateQueue, UpdateReason};
+use crate::warming_limit::WarmingLimit;
 use std::time::Duration;
 
 /// Minimum number of failed attempts for a host to be listed as failing.
@@ -185,6 +185,8 @@
     pub(crate) attempts_per_weight: Vec<f64>,
     /// Requests per second and unit of weight that the fleet's hosts usually serve.
     pub(crate) usual_load: f64,
+    /// What warming hosts may be sent.
+    pub(crate) warming_limit: WarmingLimit,
 }
 
 impl SnapshotSources<'_> {
@@ -249,13 +251,13 @@
             .map(|host| {
                 let requests_per_s = self.expected_attempts(host);
                 let load = requests_per_s / capacity(host).max(EPSILON);
-                let max_load = MAX_WARMING_LOAD * self.usual_load;
+                let max_rate = self.warming_limit.max_rate(capacity(host));
                 WarmingHost {
                     host: host.id().clone(),
                     warm_fraction: self.policy.warm_fraction(host, self.now),
                     requests_per_s,
                     relative_load: load / mean_load.max(EPSILON),
-                    bound_used: load / max_load.max(EPSILON),
+                    bound_used: requests_per_s / max_rate.max(EPSILON),
                     attempts_per_s: self.reports.throughput(std::iter::once(host)).attempts,
                 }
             })
--- a/crates/controller/src/table_admission.rs
+++ b/crates/controller/src/table_admission.rs
@@ -9,10 +9,10 @@
 use crate::host_policy::HostPolicy;
 use crate::memberships::TableMembership;
 use crate::proxy::ProxyRegistry;
-use crate::slow_start::MAX_WARMING_LOAD;
 use crate::statistics::EPSILON;
 use crate::tables::TableLayout;
 use crate::time::Time;
+use crate::warming_limit::WarmingLimit;
 
 /// Ratio of what a table's proxies admit to what its warming hosts can take above which these are at risk. Measured
 /// demand varies, so a limit that has just been sent may be exceeded slightly.
@@ -29,8 +29,8 @@
     pub(crate) fractions: &'a [f64],
     /// Indexes of the classes in ascending order of priority.
     pub(crate) lowest_priority_first: &'a [usize],
-    /// Requests per second and unit of weight that the fleet's hosts usually serve.
-    pub(crate) usual_load: f64,
+    /// What warming hosts may be sent.
+    pub(crate) warming_limit: WarmingLimit,
 }
 
 /// What is admitted to one table.
@@ -144,7 +144,7 @@
     let is_warming = |host: &&Host| !view.policy.is_warm(host, view.now);
     for host in view.hosts.iter().filter(is_warming) {
         let capacity = host.weight() * view.policy.warm_fraction(host, view.now);
-        let max_rate = MAX_WARMING_LOAD * view.usual_load * capacity;
+        let max_rate = view.warming_limit.max_rate(capacity);
         let members: Vec<&TableMembership> = host
             .memberships
             .iter()
--- a/crates/controller/tests/decisions/slow_start.rs
+++ b/crates/controller/tests/decisions/slow_start.rs
@@ -1,7 +1,11 @@
 //! Slow start of hosts that started recently.
 
-use crate::common::{SECOND, deployment_config, endpoint, host, report_all_healthy, small_fleet};
-use pondarch_controller::{EndpointState, TableId, Time};
+use crate::common::{
+    SECOND, SimulatedFleet, deployment_config, endpoint, host, ms, report_all_healthy, small_fleet,
+};
+use pondarch_controller::{
+    DeploymentConfig, EndpointState, ProxyId, RequestClassId, TableId, Time,
+};
 
 #[test]
 fn a_later_start_time_begins_slow_start() {
@@ -69,3 +73,64 @@
     fleet.run(30_000, report_all_healthy);
     assert!(fleet.lines[&(TableId(0), host(2))] > before * 0.9);
 }
+
+/// Returns the share of its usual weight that a host has one second after its restart, in a fleet with this multiple and
+/// span of the rule and this part of the requests.
+fn restarted_share(overload_multiple: f64, overload_span_ms: u64, part: f64) -> f64 {
+    let config = DeploymentConfig {
+        overload_multiple,
+        overload_span: ms(overload_span_ms),
+        ..deployment_config(8)
+    };
+    let mut fleet = small_fleet(config);
+    fleet.run(10_000, |fleet| report_part(fleet, part));
+    let before = fleet.lines[&(TableId(0), host(2))];
+    fleet.apply_list(false, vec![endpoint(2, EndpointState::Ready, fleet.time())]);
+    fleet.run(1_000, |fleet| report_part(fleet, part));
+    fleet.lines[&(TableId(0), host(2))] / before
+}
+
+fn report_part(fleet: &mut SimulatedFleet, part: f64) {
+    (0..12).for_each(|n| fleet.report_outcomes(n, 8.0 * part, 0.0, 200));
+    for n in 0..8 {
+        for (class, requests) in [6.0, 5.0, 1.0].into_iter().enumerate() {
+            fleet.controller.record_arrivals(
+                fleet.time(),
+                ProxyId(n),
+                RequestClassId(class as u8),
+                requests * part,
+                ms(1_000),
+            );
+        }
+    }
+}
+
+/// A host that takes a handful of requests in the span of the rule was sent as large a part of its capacity as one that
+/// takes hundreds: chance brought it twice as many.
+#[test]
+fn a_warming_host_with_few_requests_gets_a_smaller_part() {
+    let (few, many) = (
+        restarted_share(2.5, 2_000, 0.25),
+        restarted_share(2.5, 2_000, 50.0),
+    );
+    assert!(
+        few < many * 0.7,
+        "{few} of its weight, {many} with many requests"
+    );
+}
+
+/// The multiple and the span were not read from the settings.
+#[test]
+fn a_warming_host_gets_less_where_it_bears_less() {
+    let usual = restarted_share(2.5, 2_000, 1.0);
+    let weaker = restarted_share(1.5, 2_000, 1.0);
+    assert!(
+        weaker < usual * 0.8,
+        "{weaker} of its weight at 1.5, {usual} at 2.5"
+    );
+    let shorter = restarted_share(2.5, 500, 1.0);
+    assert!(
+        shorter < usual * 0.9,
+        "{shorter} of its weight in 0.5 s, {usual} in 2 s"
+    );
+}
--- a/crates/deployment/src/settings.rs
+++ b/crates/deployment/src/settings.rs
@@ -71,6 +71,8 @@
         slow_start_window: duration(&obligations["cold"]),
         cross_zone_cost: number(&settings["prices"]["crossZone"]),
         drain_grace_period: duration(&obligations["stopSendingWithin"]),
+        overload_multiple: number(&obligations["fallMultiple"]),
+        overload_span: duration(&obligations["fall"]),
         removal_is_advisory: flag(&obligations["removalNotBinding"]),
     }
 }
