Senders of load reports that stop within a message fill no memory

Cause: each connection may buffer a message of 1 MiB, also before it says who it is, and 4,096 connections may.

Change: before the hello a message has 4 KiB at most; after it, incomplete messages over 16 KiB share a budget of 32 MiB, and one that stays incomplete for 5 to 10 s ends its connection. A sender that finds no room connects again; its counters are totals, so nothing is lost.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 //! - `hosts_file`: watches the endpoint list file.
 //! - `health_checks`: health checks over HTTP.
 //! - `push`: connections of proxies and hosts that push load reports.
+//! - `sender_codec`: limits on the memory of their messages.
 //! - `dns`: the DNS server's sockets.
 //! - `recorder`: writes the event log, and recovers state from it at start-up.
 //! - `log`: logs the core's events.
@@ -25,6 +26,7 @@
 mod output_handler;
 mod push;
 mod recorder;
+mod sender_codec;
 
 pub use daemon::{Options, run};
 pub use error::{DaemonError, DnsError, SecretError};
--- a/crates/daemon/src/push.rs
+++ b/crates/daemon/src/push.rs
@@ -2,10 +2,11 @@
 //! affect each other: each has at most a few reports in flight, and one that exceeds its credit is disconnected.
 
 use crate::error::DaemonError;
+use crate::sender_codec::{SenderCodec, message_budget};
 use futures_util::{SinkExt, StreamExt};
 use pondarch_config::SiteSettings;
 use pondarch_daemon_core::Input;
-use pondarch_load_report_protocol::{Codec, Hello, ToController, ToSender};
+use pondarch_load_report_protocol::{Hello, ToController, ToSender};
 use pondarch_transport::{Listener, Stream};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
@@ -13,7 +14,7 @@
 use std::time::Duration;
 use tokio::sync::{Semaphore, mpsc};
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, interval, sleep, timeout};
 use tokio_util::codec::Framed;
 
 /// Maximum number of concurrent senders. Further connections are closed at once, and their senders retry.
@@ -26,6 +27,8 @@
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 /// A sender that sends nothing for this long is disconnected.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(90);
+/// Time limit for the rest of a message of which a part has arrived; up to twice that, as it is checked at this interval.
+const MESSAGE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -101,6 +104,7 @@
 
 async fn accept(listener: Listener, senders: ReportSenders, inputs: mpsc::Sender<Input>) {
     let permits = Arc::new(Semaphore::new(MAX_SENDERS));
+    let budget = message_budget();
     let mut connections = JoinSet::new();
     let mut connection = 0;
     loop {
@@ -120,8 +124,9 @@
         connection += 1;
         let senders = senders.clone();
         let inputs = inputs.clone();
+        let framed = Framed::new(stream, SenderCodec::new(budget.clone()));
         connections.spawn(async move {
-            serve(connection, stream, &senders, &inputs).await;
+            serve(connection, framed, &senders, &inputs).await;
             if senders.queues().remove(&connection).is_some() {
                 // The error is ignored because the daemon may have stopped.
                 inputs
@@ -137,15 +142,15 @@
 /// Serves a connection until it ends.
 async fn serve(
     connection: u64,
-    stream: Stream,
+    mut framed: Framed<Stream, SenderCodec>,
     senders: &ReportSenders,
     inputs: &mpsc::Sender<Input>,
 ) {
-    let mut framed = Framed::new(stream, Codec::default());
     let Ok(Some(Ok(ToController::Hello(hello)))) = timeout(HELLO_TIMEOUT, framed.next()).await
     else {
         return;
     };
+    framed.codec_mut().set_identified();
     let (queue, messages) = mpsc::channel(MAX_QUEUED_MESSAGES);
     senders.queues().insert(connection, queue);
     if inputs
@@ -159,6 +164,7 @@
         connection,
         framed,
         credit: 0,
+        received_at: Instant::now(),
         inputs,
     };
     session.run(messages).await;
@@ -183,28 +189,51 @@
 /// The session of a sender that has identified itself.
 struct SenderSession<'a> {
     connection: u64,
-    framed: Framed<Stream, Codec<ToController, ToSender>>,
+    framed: Framed<Stream, SenderCodec>,
     /// Number of reports that the sender may still send.
     credit: u32,
+    /// When the last message was received.
+    received_at: Instant,
     inputs: &'a mpsc::Sender<Input>,
 }
 
 impl SenderSession<'_> {
     async fn run(&mut self, mut messages: mpsc::Receiver<ToSender>) {
         let mut progress = Progress::Continue;
+        let mut incomplete_since_check = false;
+        let mut check = interval(MESSAGE_TIMEOUT);
         while progress == Progress::Continue {
             progress = tokio::select! {
                 biased;
                 message = messages.recv() => self.write(message).await,
-                received = timeout(IDLE_TIMEOUT, self.framed.next()) => match received {
-                    Ok(Some(Ok(received))) => self.receive(received).await,
-                    // Idle timeout, invalid message or closed connection.
+                received = self.framed.next() => match received {
+                    Some(Ok(received)) => {
+                        incomplete_since_check = false;
+                        self.receive(received).await
+                    }
+                    // Invalid message, no memory for it, or closed connection.
                     _ => Progress::End,
                 },
+                _ = check.tick() => {
+                    let progress = self.check_time_limits(incomplete_since_check);
+                    incomplete_since_check = self.framed.codec().is_incomplete();
+                    progress
+                }
             };
         }
     }
 
+    /// Returns whether the sender has time left: to send anything, and to complete a message that has been incomplete
+    /// since the last check.
+    fn check_time_limits(&self, incomplete_since_check: bool) -> Progress {
+        let is_stuck = incomplete_since_check && self.framed.codec().is_incomplete();
+        if is_stuck || self.received_at.elapsed() >= IDLE_TIMEOUT {
+            Progress::End
+        } else {
+            Progress::Continue
+        }
+    }
+
     async fn write(&mut self, message: Option<ToSender>) -> Progress {
         // The queue was removed, so the connection is closed.
         let Some(message) = message else {
@@ -220,6 +249,7 @@
     }
 
     async fn receive(&mut self, received: ToController) -> Progress {
+        self.received_at = Instant::now();
         let ToController::Report(report) = received else {
             // A second hello is a protocol violation.
             return Progress::End;
