--- a/crates/cli/tests/platform/clients.rs
+++ b/crates/cli/tests/platform/clients.rs
@@ -253,3 +253,89 @@
     }
     fixture.controller.terminate();
 }
+
+/// How much the controller may grow while clients misbehave, in KiB.
+const MAX_GROWTH_KIB: u64 = 16 * 1024;
+
+/// Clients by the hundred that write slowly, stop half way through a large message, or send a head of very many fields.
+#[test]
+fn hundreds_of_incomplete_messages_fill_no_memory() {
+    let fixture = ControllerFixture::start(4);
+    let before = fixture.controller.resident_kib();
+    let many_fields = format!("*100000\r\n{}", "$1\r\na\r\n".repeat(2_000));
+    let half = format!("*2\r\n$1000000\r\n{}", "x".repeat(100_000));
+    let mut clients = Vec::new();
+    for n in 0..400 {
+        let mut client = fixture.controller.connect();
+        let text: &[u8] = match n % 3 {
+            0 => b"*2\r\n$9\r\ncoll",
+            1 => half.as_bytes(),
+            _ => many_fields.as_bytes(),
+        };
+        // The controller may close the connection before all is written.
+        client.write_all(text).ok();
+        clients.push(client);
+    }
+    for _ in 0..10 {
+        thread::sleep(Duration::from_millis(50));
+        for client in clients.iter_mut().step_by(3) {
+            client.write_all(b"e").ok();
+        }
+    }
+    let growth = fixture.controller.resident_kib().saturating_sub(before);
+    assert!(growth < MAX_GROWTH_KIB, "grown by {growth} KiB");
+    assert!(ping_time(&fixture.controller) < Duration::from_secs(2));
+    fixture.controller.terminate();
+}
+
+/// One collector sends small reports, sound and unsound, as fast as they are read, and each names something new.
+#[test]
+fn a_flood_of_new_names_delays_no_ping_and_fills_no_memory() {
+    let fixture = ControllerFixture::start(4);
+    let before = fixture.controller.resident_kib();
+    let mut collector = fixture.controller.connect();
+    collector
+        .write_all(&resp_message("collector site a"))
+        .expect("cannot write");
+    let is_over = Arc::new(AtomicBool::new(false));
+    let is_flood_over = is_over.clone();
+    let flood = thread::spawn(move || {
+        let mut sent = 0_u64;
+        while !is_flood_over.load(Relaxed) {
+            let mut messages = Vec::new();
+            for n in sent..sent + 100 {
+                let texts = [
+                    format!("heard site a target new-{n} count 1 fail 0 mean 1.0 over 1000"),
+                    format!("heard site z{n} target host-1 count 1 fail 0 mean 1.0 over 1000"),
+                    format!(
+                        "usage id {} lane new-{n} count 1 fail 0 over 1000",
+                        n % 60_000
+                    ),
+                    format!("new-{n}"),
+                ];
+                texts
+                    .iter()
+                    .for_each(|text| messages.extend(resp_message(text)));
+            }
+            if collector.write_all(&messages).is_err() {
+                break;
+            }
+            sent += 100;
+        }
+        sent
+    });
+    let mut longest = Duration::ZERO;
+    let started_at = Instant::now();
+    while started_at.elapsed() < Duration::from_secs(3) {
+        longest = longest.max(ping_time(&fixture.controller));
+        thread::sleep(Duration::from_millis(20));
+    }
+    let growth = fixture.controller.resident_kib().saturating_sub(before);
+    is_over.store(true, Relaxed);
+    let sent = flood.join().expect("a thread panicked");
+    println!("{sent} rounds, longest ping {longest:?}, grown by {growth} KiB");
+    assert!(sent > 1_000, "the flood ended after {sent} rounds");
+    assert!(longest < Duration::from_secs(1), "{longest:?}");
+    assert!(growth < MAX_GROWTH_KIB, "grown by {growth} KiB");
+    fixture.controller.terminate();
+}
