Restarts listed one right after the other all find a message

Cause: deferrable updates left one token of the message cap for safety-critical ones. The first of the restarts took it, and the others waited for a refill.

Change: a burst has three messages where the cap allows it (refill 1.25 s instead of 1.1 s at 12 in 10 s), deferrable updates leave two, and a hazard update within 0.1 s of another message leaves one, which carries all that came meanwhile.

The new decision test fails before (host 2 with 0.889 of its weight) and passes. To wait 0.1 s before each hazard instead failed full_size::one_controller_with_all_proxies (a table of two hosts): dropped.

--- a/crates/controller/src/message_budget.rs
+++ b/crates/controller/src/message_budget.rs
@@ -1,16 +1,20 @@
 //! The message cap: the maximum number of messages to a proxy per window.
 //!
 //! A token bucket spreads the messages over the window, so that a burst of updates cannot use up the cap for later
-//! ones: a table gets a new token within one refill interval. Deferrable updates leave one token for safety-critical
+//! ones: a table gets a new token within one refill interval. Deferrable updates leave tokens for safety-critical
 //! updates, which accumulate while there is no token.
 
 use crate::config::DeploymentConfig;
 use crate::time::{DurationExt, Time};
 use std::time::Duration;
 
-/// Size of a burst: one message for deferrable updates and one for safety-critical ones. A larger burst means a longer
-/// refill interval.
-const BURST_MESSAGES: f64 = 2.0;
+/// Size of a burst: one message for deferrable updates, the others for safety-critical ones. The second of these carries
+/// the changes that were listed while the first was on its way. A larger burst means a longer refill interval, so low
+/// caps have the smaller one.
+const MIN_BURST_MESSAGES: f64 = 2.0;
+const MAX_BURST_MESSAGES: f64 = 3.0;
+/// Messages per window for each message of the burst.
+const MESSAGES_PER_BURST_MESSAGE: f64 = 3.5;
 /// Tolerance for rounding errors when tokens are compared.
 const TOKEN_TOLERANCE: f64 = 1e-6;
 
@@ -44,12 +48,24 @@
             .map(|messages| messages.saturating_sub(1) as f64)
     }
 
+    /// Returns the number of messages that may be sent at once.
+    fn burst(updates_per_window: f64) -> f64 {
+        (updates_per_window / MESSAGES_PER_BURST_MESSAGE)
+            .floor()
+            .clamp(MIN_BURST_MESSAGES, MAX_BURST_MESSAGES)
+    }
+
+    /// Returns the tokens that a deferrable update needs, which leaves all but one of a burst for safety-critical ones.
+    pub(crate) fn deferrable_tokens(&self) -> f64 {
+        self.updates_per_window().map_or(1.0, MessageCap::burst)
+    }
+
     /// Returns the time until one more message may be sent; zero if there is no limit.
     pub(crate) fn refill_interval(&self) -> Duration {
         let Some(updates) = self.updates_per_window() else {
             return Duration::ZERO;
         };
-        let refilled = (updates - BURST_MESSAGES).max(1.0);
+        let refilled = (updates - MessageCap::burst(updates)).max(1.0);
         self.window.scaled(1.0 / refilled)
     }
 
@@ -64,7 +80,7 @@
         let Some(updates) = self.updates_per_window() else {
             return true;
         };
-        let burst = BURST_MESSAGES.min(updates);
+        let burst = MessageCap::burst(updates).min(updates);
         let refill_interval = self.refill_interval();
         let mut spent: f64 = 0.0;
         let mut count = 0.0;
--- a/crates/controller/src/publishing.rs
+++ b/crates/controller/src/publishing.rs
@@ -22,8 +22,11 @@
 pub(crate) const UPDATE_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Time for which expedited differences accumulate before they are sent.
 pub(crate) const EXPEDITED_INTERVAL: Duration = Duration::from_millis(200);
-/// Message cap tokens required for a deferrable update, which leaves one for the next safety-critical update.
-const DEFERRABLE_TOKENS: f64 = 2.0;
+/// Time after a message within which a further hazard update leaves a token: several changes of the endpoint list may
+/// arrive one right after the other, and the last of them must find one.
+const SUCCESSIVE_HAZARD_INTERVAL: Duration = Duration::from_millis(100);
+/// Message cap tokens required for such an update.
+const SUCCESSIVE_HAZARD_TOKENS: f64 = 2.0;
 /// Message cap tokens required for a safety-critical update or a binding.
 pub(crate) const URGENT_TOKENS: f64 = 1.0;
 
@@ -254,12 +257,14 @@
             let pending_since = table.pending_since();
             pending_since.is_some_and(|since| self.now - since >= interval)
         };
+        let deferrable_tokens = self.policy.message_cap.deferrable_tokens();
         let (is_ready, tokens) = match reason {
-            UpdateReason::Drain | UpdateReason::Hazard => (true, URGENT_TOKENS),
-            UpdateReason::Expedited => (is_old_enough(EXPEDITED_INTERVAL), DEFERRABLE_TOKENS),
+            UpdateReason::Drain => (true, URGENT_TOKENS),
+            UpdateReason::Hazard => (true, self.hazard_tokens(table)),
+            UpdateReason::Expedited => (is_old_enough(EXPEDITED_INTERVAL), deferrable_tokens),
             UpdateReason::Ordinary => (
                 is_old_enough(self.policy.ordinary_interval),
-                DEFERRABLE_TOKENS,
+                deferrable_tokens,
             ),
         };
         let has_tokens = table.has_tokens(self.message(), &self.policy.message_cap, tokens);
@@ -270,6 +275,15 @@
         }
     }
 
+    /// Returns the message cap tokens that a hazard update of a table needs.
+    fn hazard_tokens(&self, table: &TableState) -> f64 {
+        if table.has_message_within(self.message(), SUCCESSIVE_HAZARD_INTERVAL) {
+            SUCCESSIVE_HAZARD_TOKENS
+        } else {
+            URGENT_TOKENS
+        }
+    }
+
     /// Returns which differences to send for a table with this many usable hosts.
     fn scope(&self, usable_hosts: usize) -> UpdateScope {
         if usable_hosts == 0 || !self.queue.is_half_full() {
--- a/crates/controller/src/tables.rs
+++ b/crates/controller/src/tables.rs
@@ -206,6 +206,12 @@
             || cap.has_tokens(now, self.recent_messages(now, cap), messages)
     }
 
+    /// Returns whether an earlier batch sent a message to the table's proxies within this time.
+    pub(crate) fn has_message_within(&self, next: SentMessage, time: Duration) -> bool {
+        let last = self.messages.back();
+        last.is_some_and(|last| last.batch != next.batch && next.sent_at - last.sent_at < time)
+    }
+
     /// Returns which of the table's updates the message cap has held back.
     pub(crate) fn cap_holds(&self) -> &CapHolds {
         &self.cap_holds
--- a/crates/controller/tests/decisions/message_cap.rs
+++ b/crates/controller/tests/decisions/message_cap.rs
@@ -65,6 +65,37 @@
     }
 }
 
+/// The list may show several restarts within 0.1 ms, each as a change of its own. The message for the first counted as one
+/// that knows of the second, whose update waited for a second.
+#[test]
+fn a_restart_listed_right_after_another_does_not_wait_for_the_cap() {
+    /// Less than two decision rounds.
+    const LIMIT_MS: u64 = 500;
+    let mut fleet = small_fleet(deployment_config(8));
+    let mut round = 0;
+    // Deferrable updates use all messages that they may.
+    fleet.run(12_000, |fleet| {
+        round += 1;
+        let latency_ms = |n: usize| {
+            if (n + round).is_multiple_of(3) {
+                1_500
+            } else {
+                100
+            }
+        };
+        (0..12).for_each(|n| fleet.report_outcomes(n, 8.0, 0.0, latency_ms(n)));
+    });
+    for n in 0..4 {
+        restart(&mut fleet, n);
+        fleet.now_us += 40;
+    }
+    fleet.run(LIMIT_MS, report_all_healthy);
+    for n in 0..4 {
+        let fraction = weight_fraction(&fleet, n);
+        assert!(fraction < 0.5, "host {n} has {fraction} of its weight");
+    }
+}
+
 #[test]
 fn a_drain_does_not_wait_behind_a_burst_of_restarts() {
     let mut fleet = small_fleet(deployment_config(8));
