A hazard takes the last message only after it has waited for others

Cause: two restarts listed within 0.1 ms when earlier ones had left one token: the message for the first took it, and counted as one that knows of the second, which waited for 0.94 s.

Change: a hazard needs two tokens until it has waited for 0.1 s (at most until the next decision round), in place of the rule on successive messages.

--- a/crates/controller/src/publishing.rs
+++ b/crates/controller/src/publishing.rs
@@ -22,11 +22,11 @@
 pub(crate) const UPDATE_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Time for which expedited differences accumulate before they are sent.
 pub(crate) const EXPEDITED_INTERVAL: Duration = Duration::from_millis(200);
-/// Time after a message within which a further hazard update leaves a token: several changes of the endpoint list may
-/// arrive one right after the other, and the last of them must find one.
-const SUCCESSIVE_HAZARD_INTERVAL: Duration = Duration::from_millis(100);
-/// Message cap tokens required for such an update.
-const SUCCESSIVE_HAZARD_TOKENS: f64 = 2.0;
+/// Time for which a hazard waits for others if it would use the last message cap token: several changes of the endpoint
+/// list may arrive one right after the other, and the message for the first counts as one that knows of the others.
+const LAST_TOKEN_INTERVAL: Duration = Duration::from_millis(100);
+/// Message cap tokens required for a hazard that has not waited.
+const NEW_HAZARD_TOKENS: f64 = 2.0;
 /// Message cap tokens required for a safety-critical update or a binding.
 pub(crate) const URGENT_TOKENS: f64 = 1.0;
 
@@ -277,10 +277,13 @@
 
     /// Returns the message cap tokens that a hazard update of a table needs.
     fn hazard_tokens(&self, table: &TableState) -> f64 {
-        if table.has_message_within(self.message(), SUCCESSIVE_HAZARD_INTERVAL) {
-            SUCCESSIVE_HAZARD_TOKENS
-        } else {
+        let has_waited = table
+            .safety_held_since()
+            .is_some_and(|since| self.now - since >= LAST_TOKEN_INTERVAL);
+        if has_waited {
             URGENT_TOKENS
+        } else {
+            NEW_HAZARD_TOKENS
         }
     }
 
--- a/crates/controller/src/tables.rs
+++ b/crates/controller/src/tables.rs
@@ -206,10 +206,9 @@
             || cap.has_tokens(now, self.recent_messages(now, cap), messages)
     }
 
-    /// Returns whether an earlier batch sent a message to the table's proxies within this time.
-    pub(crate) fn has_message_within(&self, next: SentMessage, time: Duration) -> bool {
-        let last = self.messages.back();
-        last.is_some_and(|last| last.batch != next.batch && next.sent_at - last.sent_at < time)
+    /// Returns since when the message cap has held back a safety-critical update, or `None` if it holds back none.
+    pub(crate) fn safety_held_since(&self) -> Option<Time> {
+        self.cap_holds.safety_held_since
     }
 
     /// Returns which of the table's updates the message cap has held back.
