The answers to one line of commands are limited

Cause: the answers to all commands of a line are made at once, in the core that answers everybody.

Daemon and proxy use it, in place of three loops.

--- a/crates/cli/tests/daemon.rs
+++ b/crates/cli/tests/daemon.rs
@@ -71,6 +71,15 @@
         }
     }
 
+    fn resident_kib(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("no process state");
+        let line = status.lines().find(|line| line.starts_with("VmRSS"));
+        let words = line.expect("no VmRSS line").split_whitespace();
+        let count = words.skip(1).find_map(|word| word.parse().ok());
+        count.expect("not a number")
+    }
+
     fn ctl(&self, socket: &str, command: &str) -> (Option<i32>, String) {
         let socket = format!("unix:{}", self.path(socket).display());
         let output = pondarch(&["ctl", &socket, command]);
@@ -278,3 +287,40 @@
     );
     daemon.wait_for_info("HostsReady: 6");
 }
+
+/// One line of 16 KB that asks for a long answer 1,600 times: the daemon built all of them at once, and answered nobody else
+/// meanwhile.
+#[test]
+fn a_line_that_asks_for_a_long_answer_many_times_delays_nobody_and_fills_no_memory() {
+    const MAX_GROWTH_KIB: u64 = 32 * 1024;
+    let daemon = Daemon::start();
+    let hosts = "{ version: 2, hosts: [{ name: 'host-%d' % n, address: '127.0.%d.%d:9' % [std.floor(n / 200), 1 + n % 200], zone: 'ede' } \
+        for n in std.range(1, 2000)] }";
+    std::fs::write(daemon.path("hosts.new"), hosts).expect("cannot write the host list");
+    std::fs::rename(daemon.path("hosts.new"), daemon.path("hosts.jsonnet"))
+        .expect("cannot replace the host list");
+    daemon.wait_for_info("HostsReady: 2000");
+    let before = daemon.resident_kib();
+    let mut client = UnixStream::connect(daemon.path("user.sock")).expect("cannot connect");
+    let line = "show stat;".repeat(1_600) + "\n";
+    client.write_all(line.as_bytes()).expect("cannot write");
+    let started_at = Instant::now();
+    let mut largest = before;
+    while started_at.elapsed() < Duration::from_secs(2) {
+        let asked_at = Instant::now();
+        assert!(
+            daemon
+                .send("admin.sock", b"show info\n")
+                .contains("HostsReady")
+        );
+        assert!(
+            asked_at.elapsed() < Duration::from_secs(1),
+            "{:?}",
+            asked_at.elapsed()
+        );
+        largest = largest.max(daemon.resident_kib());
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let growth = largest - before;
+    assert!(growth < MAX_GROWTH_KIB, "grown by {growth} KiB");
+}
--- a/crates/daemon-core/src/operator.rs
+++ b/crates/daemon-core/src/operator.rs
@@ -14,6 +14,7 @@
 use crate::state::DaemonState;
 use error::OperatorError;
 use pondarch_runtime_api::codec::framed_reply;
+use pondarch_runtime_api::line_answers::answer_line;
 use pondarch_runtime_api::{Command, CommandError, Level, command};
 
 /// The backend that stands for the endpoint list.
@@ -26,14 +27,8 @@
         1 => Level::Operator,
         _ => Level::Admin,
     };
-    let commands = command::parse_line(line);
-    if commands.is_empty() {
-        return framed_reply("");
-    }
-    commands
-        .into_iter()
-        .map(|command| framed_reply(&answer_command(state, level, command)))
-        .collect()
+    let answers = answer_line(line, |command| answer_command(state, level, command));
+    answers.iter().map(|answer| framed_reply(answer)).collect()
 }
 
 fn answer_command(
--- a/crates/proxy-core/src/proxy_state/mod.rs
+++ b/crates/proxy-core/src/proxy_state/mod.rs
@@ -9,6 +9,7 @@
 pub use error::StateError;
 pub(crate) use map_commands::version_created;
 
+use pondarch_runtime_api::line_answers::answer_line;
 use pondarch_runtime_api::stat::AttemptTotals;
 use pondarch_runtime_api::{AdminState, Command, Level, command};
 use std::collections::{BTreeMap, BTreeSet};
@@ -130,15 +131,10 @@
 
     /// Executes one line of commands and returns one reply for each command.
     pub fn execute_line(&mut self, line: &str) -> Vec<String> {
-        let commands = command::parse_line(line);
-        if commands.is_empty() {
-            return vec![String::new()];
-        }
-        let reply = |command: Result<Command, command::CommandError>| match command {
+        answer_line(line, |command| match command {
             Ok(command) => self.execute(command),
             Err(error) => format!("{error}\n"),
-        };
-        commands.into_iter().map(reply).collect()
+        })
     }
 
     /// Returns the backends whose servers may have changed since the last call.
--- a/crates/proxy-core/src/updates.rs
+++ b/crates/proxy-core/src/updates.rs
@@ -11,7 +11,7 @@
 use crate::proxy_state::ProxyState;
 use crate::version::{AppliedVersion, Version, VersionError};
 use pondarch_controller::Time;
-use pondarch_runtime_api::command::parse_line;
+use pondarch_runtime_api::line_answers::answer_line;
 use pondarch_runtime_api::{Command, Level};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -71,19 +71,11 @@
         // Prepared changes that timed out are dropped here, whichever connection they belong to.
         self.prepared
             .retain(|_, change| now - change.prepared_at < PREPARED_TIMEOUT);
-        let commands = parse_line(line);
-        if commands.is_empty() {
-            return vec![String::new()];
-        }
-        let mut replies = Vec::with_capacity(commands.len());
-        for command in commands {
-            replies.push(match command {
-                Ok(command) if command.level() > level => "Permission denied\n".into(),
-                Ok(command) => self.execute(now, connection, command, state),
-                Err(error) => format!("{error}\n"),
-            });
-        }
-        replies
+        answer_line(line, |command| match command {
+            Ok(command) if command.level() > level => "Permission denied\n".into(),
+            Ok(command) => self.execute(now, connection, command, state),
+            Err(error) => format!("{error}\n"),
+        })
     }
 
     fn execute(
--- a/crates/runtime-api/src/lib.rs
+++ b/crates/runtime-api/src/lib.rs
@@ -4,6 +4,7 @@
 //! or several that are separated by `;`. Each reply ends with an empty line. `prompt` keeps the connection open.
 //!
 //! - `command`: commands as types, parsed and written, and the level that each one requires.
+//! - `line_answers`: the answers to the commands of one line, with a limit on their size.
 //! - `tokenizer`: splits a line into commands and a command into words.
 //! - `codec`: framing for a server (lines in, replies out) and for a client (lines out, replies in).
 //! - `stat`, `state`, `info`: the tables that `show stat`, `show servers state`, `show info` and `show map` print.
@@ -15,6 +16,7 @@
 pub mod codec;
 pub mod command;
 pub mod info;
+pub mod line_answers;
 pub mod stat;
 pub mod state;
 mod tokenizer;
