--- a/crates/controller/tests/decisions/message_cap.rs
+++ b/crates/controller/tests/decisions/message_cap.rs
@@ -35,10 +35,8 @@
     }
 }
 
-/// Load that shifts with every report causes as many deferrable updates as the message cap allows.
-#[test]
-fn shifting_load_leaves_messages_for_a_restart() {
-    let mut fleet = small_fleet(deployment_config(8));
+/// Runs with load that shifts with every report, which causes as many deferrable updates as the message cap allows.
+fn shift_load(fleet: &mut SimulatedFleet) {
     let mut round = 0;
     fleet.run(12_000, |fleet| {
         round += 1;
@@ -51,6 +49,12 @@
         };
         (0..12).for_each(|n| fleet.report_outcomes(n, 8.0, 0.0, latency_ms(n)));
     });
+}
+
+#[test]
+fn shifting_load_leaves_messages_for_a_restart() {
+    let mut fleet = small_fleet(deployment_config(8));
+    shift_load(&mut fleet);
     for n in 0..6 {
         let before = fleet.now_us;
         restart(&mut fleet, n);
@@ -72,19 +76,7 @@
     /// Less than two decision rounds.
     const LIMIT_MS: u64 = 500;
     let mut fleet = small_fleet(deployment_config(8));
-    let mut round = 0;
-    // Deferrable updates use all messages that they may.
-    fleet.run(12_000, |fleet| {
-        round += 1;
-        let latency_ms = |n: usize| {
-            if (n + round).is_multiple_of(3) {
-                1_500
-            } else {
-                100
-            }
-        };
-        (0..12).for_each(|n| fleet.report_outcomes(n, 8.0, 0.0, latency_ms(n)));
-    });
+    shift_load(&mut fleet);
     for n in 0..4 {
         restart(&mut fleet, n);
         fleet.now_us += 40;
