Log changes of retries, how long a start takes to reach all tables, and the load in its own line

New: 'retries changed' with its cause, 'host start published' with the time from the list to the last message, and 'load', which was the end of 'status'. The events for the log share one bounded buffer, which stood twice. No decision changes.

--- a/crates/controller/src/admission_changes.rs
+++ b/crates/controller/src/admission_changes.rs
@@ -1,11 +1,9 @@
 //! Changes of what is admitted, with their causes, for logging only: they never influence a decision.
 
 use crate::admission_control::AdmissionController;
+use crate::event_buffer::EventBuffer;
 use crate::time::Time;
-use std::collections::VecDeque;
 
-/// Maximum number of changes kept until they are taken; beyond it, the oldest are dropped.
-const MAX_PENDING: usize = 1_024;
 /// Smallest difference of two admitted fractions that counts as a change.
 const MIN_CHANGE: f64 = 1e-6;
 
@@ -43,7 +41,7 @@
 #[derive(Default)]
 pub(crate) struct AdmissionChanges {
     observed: Vec<f64>,
-    pending: VecDeque<AdmissionChange>,
+    pending: EventBuffer<AdmissionChange>,
 }
 
 impl AdmissionChanges {
@@ -64,14 +62,11 @@
     /// Records a change.
     pub(crate) fn record(&mut self, change: AdmissionChange) {
         self.observed.clone_from(&change.fractions);
-        if self.pending.len() == MAX_PENDING {
-            self.pending.pop_front();
-        }
-        self.pending.push_back(change);
+        self.pending.push(change);
     }
 
     /// Takes all pending changes, oldest first.
     pub(crate) fn take(&mut self) -> Vec<AdmissionChange> {
-        self.pending.drain(..).collect()
+        self.pending.take()
     }
 }
--- a/crates/controller/src/admission_control.rs
+++ b/crates/controller/src/admission_control.rs
@@ -8,6 +8,7 @@
 use crate::fleet_throughput::FleetThroughput;
 use crate::load_evidence::{LoadEvidence, LoadEvidenceTracker};
 use crate::proxy::{Proxy, ProxyRegistry};
+use crate::retry_changes::RetryCause;
 use crate::startup_limit::StartupLimit;
 use crate::statistics::{EPSILON, moving_average};
 use crate::time::{DurationExt, Time};
@@ -114,6 +115,15 @@
         }
     }
 
+    /// Returns why proxies may retry attempts, or may not.
+    pub(crate) fn retry_cause(&self) -> RetryCause {
+        if self.are_retries_stopped {
+            RetryCause::Overload
+        } else {
+            RetryCause::Allowed
+        }
+    }
+
     /// Returns the overload of the fleet; load is shed above 1.
     pub(crate) fn overload(&self) -> f64 {
         self.overload
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -20,6 +20,8 @@
 use crate::placement::Placement;
 use crate::proxy::ProxyRegistry;
 use crate::publishing::UpdatePolicy;
+use crate::retry_changes::{RetryChange, RetryChanges};
+use crate::start_propagation::{StartPropagation, StartPropagationLog};
 use crate::status::StatusSnapshot;
 use crate::table_admission::TableAdmission;
 use crate::tables::{TableLayout, TableState, new_tables};
@@ -107,6 +109,8 @@
     decisions: VecDeque<Decision>,
     transitions: TransitionLog,
     admission_changes: AdmissionChanges,
+    retry_changes: RetryChanges,
+    start_propagation: StartPropagationLog,
 }
 
 impl Controller {
@@ -147,6 +151,8 @@
             decisions: VecDeque::new(),
             transitions: TransitionLog::default(),
             admission_changes: AdmissionChanges::default(),
+            retry_changes: RetryChanges::default(),
+            start_propagation: StartPropagationLog::default(),
         }
     }
 
@@ -179,4 +185,16 @@
     pub fn take_admission_changes(&mut self) -> Vec<AdmissionChange> {
         self.admission_changes.take()
     }
+
+    /// Takes the changes of what proxies are told about retries since the last call, for logs. Only the latest 1,024 are
+    /// kept.
+    pub fn take_retry_changes(&mut self) -> Vec<RetryChange> {
+        self.retry_changes.take()
+    }
+
+    /// Takes the hosts that had started and whose weight was lowered in all tables since the last call, for logs. Only the
+    /// latest 1,024 are kept.
+    pub fn take_start_propagations(&mut self) -> Vec<StartPropagation> {
+        self.start_propagation.take()
+    }
 }
--- a/crates/controller/src/controller/decide.rs
+++ b/crates/controller/src/controller/decide.rs
@@ -65,10 +65,13 @@
         self.update_admission(AdmissionController::refresh_without_evidence, 0.0);
         let is_round_due = timer_fired || expedite;
         self.record_admission_change();
+        self.retry_changes
+            .observe(self.admission.retry_cause(), self.admission.overload());
         self.limit_admission();
         if is_round_due {
             self.update_placement();
             self.limit_admission();
+            self.observe_start_propagation();
         }
         if is_round_due {
             let exposed_tables = self.exposed_tables();
@@ -76,6 +79,7 @@
             self.expedite |= published == Published::BatchFull;
         }
         self.update_round().bind_proxies();
+        self.observe_start_propagation();
         self.end_batch(decisions_before);
     }
 
@@ -119,6 +123,12 @@
         self.place_hosts(&traffic);
     }
 
+    /// Records for the log which hosts that have started still have their old weight.
+    fn observe_start_propagation(&mut self) {
+        self.start_propagation
+            .observe(self.now, &self.hosts, &self.host_policy, &self.tables);
+    }
+
     /// Records for the log that other fractions of the requests are admitted, if they are.
     fn record_admission_change(&mut self) {
         if !self.admission_changes.is_changed(&self.admission) {
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -14,6 +14,7 @@
 mod decision;
 mod endpoint;
 mod endpoint_poll;
+mod event_buffer;
 mod exposure;
 mod fleet_throughput;
 mod host;
@@ -30,8 +31,10 @@
 mod publishing;
 mod rate_model;
 mod report;
+mod retry_changes;
 mod shards;
 mod slow_start;
+mod start_propagation;
 mod startup_limit;
 mod statistics;
 mod status;
@@ -53,6 +56,8 @@
 pub use outlier_detection::{EjectionCause, HealthCheckResult};
 pub use proxy::JoiningProxy;
 pub use report::{AttemptOutcomes, HostLoad};
+pub use retry_changes::{RetryCause, RetryChange};
+pub use start_propagation::StartPropagation;
 pub use status::{
     HostFailures, LineCounts, MessageCapStatus, StatusSnapshot, Throughput, UpdateQueueStatus,
     WarmingHost,
--- a/crates/controller/src/transitions.rs
+++ b/crates/controller/src/transitions.rs
@@ -1,15 +1,12 @@
 //! Transitions of hosts between phases, for logging only: they never influence a decision.
 
 use crate::endpoint::EndpointState;
+use crate::event_buffer::EventBuffer;
 use crate::host::{Host, HostRegistry};
 use crate::host_policy::HostPolicy;
 use crate::ids::HostId;
 use crate::outlier_detection::EjectionCause;
 use crate::time::Time;
-use std::collections::VecDeque;
-
-/// Maximum number of transitions kept until they are taken; beyond it, the oldest are dropped.
-const MAX_PENDING: usize = 1_024;
 
 /// How the controller treats a host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,7 +52,7 @@
 /// Transitions that have not been taken yet.
 #[derive(Default)]
 pub(crate) struct TransitionLog {
-    pending: VecDeque<HostTransition>,
+    pending: EventBuffer<HostTransition>,
 }
 
 impl TransitionLog {
@@ -71,10 +68,7 @@
             if before == Some(observed) || is_new_and_serving {
                 continue;
             }
-            if self.pending.len() == MAX_PENDING {
-                self.pending.pop_front();
-            }
-            self.pending.push_back(HostTransition {
+            self.pending.push(HostTransition {
                 at: now,
                 host: host.id().clone(),
                 from: before.map(|before| before.phase),
@@ -87,7 +81,7 @@
 
     /// Takes all pending transitions, oldest first.
     pub(crate) fn take(&mut self) -> Vec<HostTransition> {
-        self.pending.drain(..).collect()
+        self.pending.take()
     }
 }
 
--- a/crates/platform-core/src/controller.rs
+++ b/crates/platform-core/src/controller.rs
@@ -6,8 +6,8 @@
 use crate::wall_clock::WallClock;
 use pondarch_controller::HealthCheckResult;
 use pondarch_controller::{
-    AdmissionChange, Controller, Decision, HostId, HostLoad, HostTransition, StatusSnapshot, Time,
-    ZoneId,
+    AdmissionChange, Controller, Decision, HostId, HostLoad, HostTransition, RetryChange,
+    StartPropagation, StatusSnapshot, Time, ZoneId,
 };
 use pondarch_deployment::DeploymentNames;
 use pondarch_platform_protocol::config::PlatformConfig;
@@ -204,6 +204,16 @@
         self.controller.take_admission_changes()
     }
 
+    /// Returns the changes of what proxies are told about retries since the previous call, for the log.
+    pub fn take_retry_changes(&mut self) -> Vec<RetryChange> {
+        self.controller.take_retry_changes()
+    }
+
+    /// Returns the hosts that had started and whose weight was lowered in all tables since the previous call, for the log.
+    pub fn take_start_propagations(&mut self) -> Vec<StartPropagation> {
+        self.controller.take_start_propagations()
+    }
+
     /// Returns the number of connected proxies.
     #[must_use]
     pub fn joined_proxies(&self) -> usize {
--- a/crates/platform/src/dispatch.rs
+++ b/crates/platform/src/dispatch.rs
@@ -2,14 +2,15 @@
 
 use crate::events::{ClientEvent, DisconnectReason, TaskEvent, UpstreamEvent};
 use crate::program::Program;
-use crate::status_log::{log_admission_change, log_transition};
+use crate::status_log::{
+    log_admission_change, log_retry_change, log_start_propagation, log_transition,
+};
 use crate::update_calls::Call;
 use pondarch_platform_core::{CallOutcome, Input, Output};
 use tracing::{info, warn};
 
 impl Program {
-    /// Executes the controller's outputs until there are none left, and logs the hosts' phase transitions
-    /// and the changes of admission.
+    /// Executes the controller's outputs until there are none left, and logs what has changed.
     pub(crate) fn execute_outputs(&mut self) {
         while let Some(output) = self.controller.next_output(self.clock.now()) {
             match output {
@@ -23,6 +24,12 @@
         for change in self.controller.take_admission_changes() {
             self.log_limit.log(|| log_admission_change(&change));
         }
+        for change in self.controller.take_retry_changes() {
+            self.log_limit.log(|| log_retry_change(&change));
+        }
+        for propagation in self.controller.take_start_propagations() {
+            self.log_limit.log(|| log_start_propagation(&propagation));
+        }
     }
 
     fn send_call(&mut self, call: Call) {
--- a/crates/platform/src/status_log.rs
+++ b/crates/platform/src/status_log.rs
@@ -3,8 +3,8 @@
 
 use crate::clients::Clients;
 use pondarch_controller::{
-    AdmissionChange, DurationExt, HostId, HostTransition, MessageCapStatus, StatusSnapshot,
-    UpdateQueueStatus, WarmingHost,
+    AdmissionChange, DurationExt, HostId, HostTransition, MessageCapStatus, RetryChange,
+    StartPropagation, StatusSnapshot, UpdateQueueStatus, WarmingHost,
 };
 use pondarch_platform_core::{Counters, PlatformController};
 use tracing::{info, warn};
@@ -23,6 +23,7 @@
     pub(crate) fn write(&mut self, controller: &PlatformController, clients: &Clients) {
         let status = controller.status();
         log_status(&status);
+        log_load(&status);
         self.log_update_queue(&status.update_queue);
         log_message_cap(&status.message_cap);
         log_warming_hosts(&status.warming);
@@ -79,6 +80,13 @@
         on_probation = join_names(&status.on_probation),
         weight_reduced = join_names(&status.weight_reduced),
         failing = format_failing_hosts(status),
+        "status"
+    );
+}
+
+/// Logs the load in a line of its own: operators' excerpts cut long lines off.
+fn log_load(status: &StatusSnapshot) {
+    info!(
         admitted_fractions = ?status.admitted_fractions,
         startup_limit = format!("{:.2}", status.startup_limit),
         overload = format!("{:.2}", status.overload),
@@ -89,7 +97,7 @@
         attempts_per_s = format!("{:.1}", status.throughput.attempts),
         usual_load = format!("{:.3}", status.usual_load),
         attempts_per_request = format!("{:.2}", status.attempts_per_request),
-        "status"
+        "load"
     );
 }
 
@@ -146,6 +154,24 @@
     );
 }
 
+/// Logs that proxies are told otherwise about retries.
+pub(crate) fn log_retry_change(change: &RetryChange) {
+    info!(
+        cause = ?change.cause,
+        overload = format!("{:.2}", change.overload),
+        "retries changed"
+    );
+}
+
+/// Logs that all tables have been sent a weight that a host bears which had started.
+pub(crate) fn log_start_propagation(propagation: &StartPropagation) {
+    info!(
+        host = &*propagation.host.0,
+        waited_ms = propagation.waited.micros() / 1_000,
+        "host start published"
+    );
+}
+
 fn join_names(hosts: &[HostId]) -> String {
     let names: Vec<&str> = hosts.iter().map(|host| &*host.0).collect();
     names.join(",")
