A table with a warming host orders no retries, and neither does a controller that knows no load

Cause: whether proxies retry was decided for the whole fleet, by an overload that reports show seconds late; the order was an ordinary update, which waits for a refill of the message cap; and a controller that had just started ordered retries before it knew any load, which took back what others had stopped. Nobody asked whether the hosts of the table bear them. Change: the table's admission owns the retry policy. It is Never while the table has a warming host, and goes out with the line that needs it, also while the queue is half full; a stop that may be lost counts as not sent. Without evidence of the load no retries are ordered.

--- a/crates/controller/src/admission_control.rs
+++ b/crates/controller/src/admission_control.rs
@@ -105,13 +105,12 @@
         &self.lowest_priority_first
     }
 
-    /// Returns how proxies retry attempts: where hosts turn requests away because the fleet is overloaded, retries bring
-    /// what full hosts can't take to the warming ones, which have room until they fall over.
+    /// Returns how proxies retry attempts: not where hosts turn requests away because the fleet is overloaded, as it may be
+    /// while the load is not known.
     pub(crate) fn retry_policy(&self) -> RetryPolicy {
-        if self.are_retries_stopped {
-            RetryPolicy::Never
-        } else {
-            RetryPolicy::IfUnprocessed
+        match self.retry_cause() {
+            RetryCause::Allowed => RetryPolicy::IfUnprocessed,
+            RetryCause::Overload | RetryCause::LoadUnknown => RetryPolicy::Never,
         }
     }
 
@@ -119,6 +118,8 @@
     pub(crate) fn retry_cause(&self) -> RetryCause {
         if self.are_retries_stopped {
             RetryCause::Overload
+        } else if !self.is_load_known() {
+            RetryCause::LoadUnknown
         } else {
             RetryCause::Allowed
         }
--- a/crates/controller/src/config.rs
+++ b/crates/controller/src/config.rs
@@ -68,9 +68,10 @@
 }
 
 /// When a proxy retries a request at another host after a failed attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum RetryPolicy {
     /// Never.
+    #[default]
     Never,
     /// Once, if it is proven that the first host did not process the request.
     IfUnprocessed,
--- a/crates/controller/src/controller/decide.rs
+++ b/crates/controller/src/controller/decide.rs
@@ -157,6 +157,7 @@
             lowest_priority_first: self.admission.lowest_priority_first(),
             warming_limit: self.warming_limit(),
             attempts_per_request: self.attempts_per_request(),
+            retry_policy: self.admission.retry_policy(),
         });
     }
 
@@ -282,7 +283,6 @@
 
     fn update_round(&mut self) -> UpdateRound<'_> {
         UpdateRound {
-            retry_policy: self.admission.retry_policy(),
             now: self.now,
             batch: self.last_batch + 1,
             policy: &self.update_policy,
--- a/crates/controller/src/controller/inputs.rs
+++ b/crates/controller/src/controller/inputs.rs
@@ -181,7 +181,7 @@
             }
             Decision::BindProxy { proxy, .. } => self.schedule_rebind(*proxy, bind_not_before),
             Decision::SetAdmissionRate { table, class, .. } => {
-                self.tables[table.0 as usize].mark_fraction_unconfirmed(class.0 as usize);
+                self.tables[table.0 as usize].mark_admission_unconfirmed(class.0 as usize);
             }
             Decision::RequestAck(_)
             | Decision::CheckHealth(_)
--- a/crates/controller/src/publishing.rs
+++ b/crates/controller/src/publishing.rs
@@ -1,7 +1,7 @@
 //! Publishing: decides when and which differences between the target tables and the sent tables are sent to the
 //! proxies.
 
-use crate::config::{AdmissionMode, DeploymentConfig, RetryPolicy};
+use crate::config::{AdmissionMode, DeploymentConfig};
 use crate::decision::Decision;
 use crate::host::{Host, HostRegistry};
 use crate::host_policy::HostPolicy;
@@ -125,8 +125,6 @@
     pub(crate) layout: &'a TableLayout,
     /// What is admitted to each table.
     pub(crate) admissions: &'a [TableAdmission],
-    /// How proxies retry attempts that hosts have turned away.
-    pub(crate) retry_policy: RetryPolicy,
     pub(crate) hosts: &'a mut HostRegistry,
     pub(crate) proxies: &'a mut ProxyRegistry,
     pub(crate) tables: &'a mut [TableState],
@@ -198,7 +196,6 @@
             }
         }
         let is_half_full = self.queue.is_half_full();
-        let retry_policy = self.retry_policy;
         let tables = self.tables.iter_mut().zip(self.admissions);
         let tables = tables.zip(exposed_tables);
         for (update, ((table, admission), is_exposed)) in pending.iter_mut().zip(tables) {
@@ -207,10 +204,11 @@
                 continue;
             }
             table.drop_old_messages(self.now, &self.policy.message_cap);
-            let admission_reason = if admission.is_exceeded_by(table.sent_fractions()) {
+            let admission_reason = if table.exceeds(admission) {
                 Some(UpdateReason::Hazard)
             } else {
-                let changed = table.changed_admissions(admission.fractions(), retry_policy);
+                let changed =
+                    table.changed_admissions(admission.fractions(), admission.retry_policy());
                 let is_changed = changed > 0;
                 is_changed.then_some(UpdateReason::Ordinary)
             };
@@ -320,8 +318,9 @@
             .filter(|membership| membership.table() == table && scope.includes(membership))
             .count();
         if self.sends_admission_rates(table, scope) {
-            let fractions = self.admissions[table].fractions();
-            hosts + self.tables[table].changed_admissions(fractions, self.retry_policy)
+            let admission = &self.admissions[table];
+            let table = &self.tables[table];
+            hosts + table.changed_admissions(admission.fractions(), admission.retry_policy())
         } else {
             hosts
         }
@@ -332,9 +331,9 @@
         scope == UpdateScope::All || self.has_excess_admission(table)
     }
 
-    /// Returns whether the table's proxies admit so much that its warming hosts are at risk.
+    /// Returns whether the table's proxies admit or retry so much that its warming hosts are at risk.
     pub(crate) fn has_excess_admission(&self, table: usize) -> bool {
-        self.admissions[table].is_exceeded_by(self.tables[table].sent_fractions())
+        self.tables[table].exceeds(&self.admissions[table])
     }
 
     /// Sends the differences of one table that are in scope to all its proxies.
@@ -382,15 +381,16 @@
 
     fn send_admission_rates(&mut self, table: usize) {
         for (class, &fraction) in self.admissions[table].fractions().iter().enumerate() {
+            let retry_policy = self.admissions[table].retry_policy();
             let state = &mut self.tables[table];
-            if !state.mark_admission_sent(class, fraction, self.retry_policy) {
+            if !state.mark_admission_sent(class, fraction, retry_policy) {
                 continue;
             }
             self.decisions.push_back(Decision::SetAdmissionRate {
                 table: TableId(table as u16),
                 class: RequestClassId(class as u8),
                 quota: self.quota(class, fraction),
-                retry_policy: self.retry_policy,
+                retry_policy,
             });
         }
     }
--- a/crates/controller/src/retry_changes.rs
+++ b/crates/controller/src/retry_changes.rs
@@ -2,13 +2,15 @@
 
 use crate::event_buffer::EventBuffer;
 
-/// Why proxies may retry attempts that hosts have turned away, or may not.
+/// Why proxies may retry attempts that hosts have turned away, or may not, in tables without a warming host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RetryCause {
     /// They may.
     Allowed,
     /// The fleet is overloaded, or was and has not recovered.
     Overload,
+    /// Reports do not show the load yet: the fleet may be overloaded.
+    LoadUnknown,
 }
 
 /// Proxies are told otherwise about retries.
--- a/crates/controller/src/table_admission.rs
+++ b/crates/controller/src/table_admission.rs
@@ -5,6 +5,7 @@
 //! one, that part is as large as the requests are many, so the requests must be limited too.
 
 use crate::admission_control::{FRACTION_STEP, shed_lowest_priority_first};
+use crate::config::RetryPolicy;
 use crate::host::{Host, HostRegistry};
 use crate::host_policy::HostPolicy;
 use crate::memberships::TableMembership;
@@ -33,6 +34,8 @@
     pub(crate) warming_limit: WarmingLimit,
     /// Attempts at hosts for each admitted request.
     pub(crate) attempts_per_request: f64,
+    /// How proxies may retry attempts in tables without a warming host.
+    pub(crate) retry_policy: RetryPolicy,
 }
 
 /// What is admitted to one table.
@@ -44,6 +47,10 @@
     fractions: Vec<f64>,
     /// Requests per second with which no warming host of the table gets more than it can take; `None` if it has none.
     warming_limit: Option<f64>,
+    /// Whether it has a warming host, or should have one.
+    has_warming_hosts: bool,
+    /// How its proxies may retry attempts while it has none.
+    retry_policy: RetryPolicy,
 }
 
 impl TableAdmission {
@@ -52,6 +59,21 @@
         &self.fractions
     }
 
+    /// Returns how the table's proxies retry attempts that hosts have turned away: not while it has a warming host, which
+    /// has room for what full hosts turn away until it falls over.
+    pub(crate) fn retry_policy(&self) -> RetryPolicy {
+        if self.has_warming_hosts {
+            RetryPolicy::Never
+        } else {
+            self.retry_policy
+        }
+    }
+
+    /// Returns whether retries put a warming host of the table at risk.
+    pub(crate) fn has_warming_hosts(&self) -> bool {
+        self.has_warming_hosts
+    }
+
     /// Returns the requests per second that are admitted.
     pub(crate) fn admitted_rate(&self) -> f64 {
         rate(&self.demand, &self.fractions)
@@ -97,6 +119,9 @@
 /// Returns the admission of each table.
 pub(crate) fn table_admissions(view: &TableAdmissionView<'_>) -> Vec<TableAdmission> {
     let mut tables = unlimited_admissions(view);
+    for table in tables_with_warming_hosts(view) {
+        tables[table].has_warming_hosts = true;
+    }
     let rate_per_weight = rates_per_weight(view, &tables);
     for (table, limit) in warming_limits(view, &rate_per_weight).iter().enumerate() {
         if let Some(factor) = limit.filter(|_| tables[table].admitted_rate() > 0.0) {
@@ -114,6 +139,8 @@
         demand: vec![0.0; view.fractions.len()],
         fractions: view.fractions.to_vec(),
         warming_limit: None,
+        has_warming_hosts: false,
+        retry_policy: view.retry_policy,
     };
     let mut tables = vec![table; view.layout.len()];
     for proxy in view.proxies.iter() {
@@ -126,6 +153,16 @@
     tables
 }
 
+/// Returns the tables that have a warming host, or should have one; a table with several is returned several times.
+fn tables_with_warming_hosts(view: &TableAdmissionView<'_>) -> impl Iterator<Item = usize> {
+    let is_warming = |host: &&Host| !view.policy.is_warm(host, view.now);
+    let memberships = view.hosts.iter().filter(is_warming);
+    let memberships = memberships.flat_map(|host| host.memberships.iter());
+    memberships
+        .filter(|membership| membership.may_be_held() || membership.target_weight() > 0.0)
+        .map(TableMembership::table)
+}
+
 /// Returns the admitted requests per second and unit of target weight of each table.
 fn rates_per_weight(view: &TableAdmissionView<'_>, tables: &[TableAdmission]) -> Vec<f64> {
     let mut weights = vec![0.0; tables.len()];
--- a/crates/controller/src/tables.rs
+++ b/crates/controller/src/tables.rs
@@ -5,6 +5,7 @@
 use crate::message_budget::MessageCap;
 use crate::proxy::Proxy;
 use crate::status::LineCounts;
+use crate::table_admission::TableAdmission;
 use crate::time::Time;
 use crate::update_queue::UpdateReason;
 use std::collections::VecDeque;
@@ -249,11 +250,6 @@
         self.cap_holds.safety_held_since = None;
     }
 
-    /// Returns the last sent admitted fraction of each class; `None` if not sent or unconfirmed.
-    pub(crate) fn sent_fractions(&self) -> &[Option<f64>] {
-        &self.sent_fractions
-    }
-
     /// Returns the number of classes whose admitted fraction or retry policy differs from what was sent.
     pub(crate) fn changed_admissions(&self, fractions: &[f64], retry_policy: RetryPolicy) -> usize {
         let fraction_changed = |class: usize| self.sent_fractions[class] != Some(fractions[class]);
@@ -264,6 +260,19 @@
             .count()
     }
 
+    /// Returns whether the table's proxies admit or retry so much, by what they were sent, that its warming hosts are at
+    /// risk.
+    pub(crate) fn exceeds(&self, admission: &TableAdmission) -> bool {
+        let retries_to_warming_hosts = admission.has_warming_hosts() && self.may_retry();
+        retries_to_warming_hosts || admission.is_exceeded_by(&self.sent_fractions)
+    }
+
+    /// Returns whether the table's proxies may have been told to retry attempts of a class.
+    pub(crate) fn may_retry(&self) -> bool {
+        let is_stopped = |sent: &Option<RetryPolicy>| *sent == Some(RetryPolicy::Never);
+        !self.sent_retry_policies.iter().all(is_stopped)
+    }
+
     /// Records that an admitted fraction and the retry policy of a class are sent. Returns whether they differ from the
     /// last ones.
     pub(crate) fn mark_admission_sent(
@@ -277,15 +286,16 @@
         before != Some(fraction) || policy_before != Some(retry_policy)
     }
 
-    /// Records that the admitted fraction of a class may not have been applied.
-    pub(crate) fn mark_fraction_unconfirmed(&mut self, class: usize) {
+    /// Records that the admitted fraction and the retry policy of a class may not have been applied.
+    pub(crate) fn mark_admission_unconfirmed(&mut self, class: usize) {
         self.sent_fractions[class] = None;
+        self.sent_retry_policies[class] = None;
     }
 }
 
 /// Returns the initial state of all tables.
 pub(crate) fn new_tables(layout: &TableLayout, config: &DeploymentConfig) -> Vec<TableState> {
-    // Updates set `RetryPolicy::IfUnprocessed` unless the fleet is overloaded: proof that an attempt was not processed makes a retry safe for
+    // Updates set `RetryPolicy::IfUnprocessed` where no host warms up and the fleet is known not to be overloaded: proof that an attempt was not processed makes a retry safe for
     // every class. After other failures, retries do not help even idempotent classes: waiting for them cuts slow
     // responses short, and they increase overload. If this is the default policy too, the proxies need no initial
     // update.
