--- a/crates/cli/tests/platform/loaded_host.rs
+++ b/crates/cli/tests/platform/loaded_host.rs
@@ -2,7 +2,7 @@
 //!
 //! Times are in seconds since the start of the fleet, work in mean requests.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 /// Multiple of its present capacity at which a warming host falls over, and the span over which it is counted. The rule
 /// has a little slack for chance, of unknown size; none is used here.
@@ -102,6 +102,7 @@
     /// Whether the proxy knows of the host's start, or its controller has for longer than the grace period.
     is_informed: bool,
     origin: Origin,
+    proxy: usize,
     expected: ExpectedRate,
 }
 
@@ -115,6 +116,8 @@
     pub retried: f64,
     /// The part of that which a controller's order to retry brought.
     pub by_order: f64,
+    /// The largest part of what was sent that came from a single proxy.
+    pub by_one_proxy: f64,
     /// What the weights that proxies hold let expect, without chance.
     pub by_weights: f64,
     /// The same without the hosts that proxies avoid.
@@ -278,6 +281,15 @@
         ended
     }
 
+    /// Returns the work in the span that the proxy with the most of it sent.
+    fn largest_of_one_proxy(&self) -> f64 {
+        let mut by_proxy: BTreeMap<usize, f64> = BTreeMap::new();
+        for sent in &self.sent {
+            *by_proxy.entry(sent.proxy).or_default() += sent.work;
+        }
+        by_proxy.into_values().fold(0.0, f64::max)
+    }
+
     /// Counts a request that is sent to it while it warms up. Returns its load within the span.
     pub(crate) fn count_sent(
         &mut self,
@@ -291,6 +303,7 @@
             work: request.work,
             is_informed,
             origin: request.origin,
+            proxy: request.proxy,
             expected,
         });
         self.sent.retain(|sent| now - sent.at <= OVERLOAD_SPAN_S);
@@ -308,6 +321,7 @@
             requests: self.sent.len(),
             retried: work_of(|sent| sent.origin != Origin::First) / (capacity * OVERLOAD_SPAN_S),
             by_order: work_of(|sent| sent.origin == Origin::Retried) / (capacity * OVERLOAD_SPAN_S),
+            by_one_proxy: self.largest_of_one_proxy() / (capacity * OVERLOAD_SPAN_S),
             by_weights: mean_of(|sent| sent.expected.by_weights),
             expected: mean_of(|sent| sent.expected.with_avoidance),
             informed_share: work_of(|sent| sent.is_informed) / total.max(1e-9),
