The log says how long the old weight of a host stays, not how its target varies

'host start published' was also written when a warming host's target fell below half of the weight sent. A line now knows the start that it was sent for.

--- a/crates/controller/src/memberships.rs
+++ b/crates/controller/src/memberships.rs
@@ -1,5 +1,7 @@
 //! Memberships of one host in tables: target weight, last sent weight, and whether the sent weight is confirmed.
 
+use crate::time::Time;
+
 /// Relative change of a weight from which it is sent; smaller changes have no noticeable effect.
 const MIN_WEIGHT_CHANGE: f64 = 0.1;
 /// Ratio of sent weight to target weight above which the sent weight counts as excess weight.
@@ -14,6 +16,8 @@
     table: usize,
     target_weight: f64,
     sent_weight: f64,
+    /// The start of the host that the last sent weight was for.
+    sent_for_start: Time,
     unconfirmed: bool,
 }
 
@@ -60,8 +64,15 @@
             || (self.target_weight > 0.0) != (self.sent_weight > 0.0)
     }
 
-    /// Records that the target weight is sent. Returns it, or `None` if the host leaves the table.
-    pub(crate) fn mark_sent(&mut self) -> Option<f64> {
+    /// Returns whether the last sent weight was for an earlier start of the host.
+    pub(crate) fn is_outdated(&self, started: Time) -> bool {
+        self.sent_for_start < started
+    }
+
+    /// Records that the target weight is sent, for the host's present start. Returns it, or `None` if the host leaves the
+    /// table.
+    pub(crate) fn mark_sent(&mut self, started: Time) -> Option<f64> {
+        self.sent_for_start = started;
         self.sent_weight = self.target_weight;
         self.unconfirmed = false;
         (self.target_weight > 0.0).then_some(self.target_weight)
--- a/crates/controller/src/publishing.rs
+++ b/crates/controller/src/publishing.rs
@@ -365,6 +365,7 @@
 
     fn send_weights(&mut self, table: usize, scope: UpdateScope) {
         for host in self.hosts.iter_mut() {
+            let started = host.started();
             let (id, memberships) = host.id_and_memberships_mut();
             for membership in memberships.iter_mut() {
                 if membership.table() != table || !scope.includes(membership) {
@@ -373,7 +374,7 @@
                 self.decisions.push_back(Decision::SetWeight {
                     table: TableId(table as u16),
                     host: id.clone(),
-                    weight: membership.mark_sent(),
+                    weight: membership.mark_sent(started),
                 });
             }
         }
--- a/crates/controller/src/start_propagation.rs
+++ b/crates/controller/src/start_propagation.rs
@@ -38,8 +38,9 @@
         let is_warming = |host: &&Host| policy.is_ready(host, now) && !policy.is_warm(host, now);
         let is_exposed = |host: &&Host| {
             host.memberships.iter().any(|membership| {
-                let is_unsafe = membership.has_risky_weight() || membership.is_unconfirmed();
-                is_unsafe && tables[membership.table()].is_used()
+                let has_old_weight =
+                    membership.has_risky_weight() && membership.is_outdated(host.started());
+                has_old_weight && tables[membership.table()].is_used()
             })
         };
         let mut before = std::mem::take(&mut self.exposed_since);
