--- a/crates/controller/src/admission_control.rs
+++ b/crates/controller/src/admission_control.rs
@@ -106,7 +106,7 @@
     }
 
     /// Returns how proxies retry attempts: not where hosts turn requests away because the fleet is overloaded, as it may be
-    /// while the load is not known.
+    /// while hosts warm up and the load is not known.
     pub(crate) fn retry_policy(&self) -> RetryPolicy {
         match self.retry_cause() {
             RetryCause::Allowed => RetryPolicy::IfUnprocessed,
@@ -118,7 +118,7 @@
     pub(crate) fn retry_cause(&self) -> RetryCause {
         if self.are_retries_stopped {
             RetryCause::Overload
-        } else if !self.is_load_known() {
+        } else if !self.is_load_known() && self.startup_limit.is_shedding() {
             RetryCause::LoadUnknown
         } else {
             RetryCause::Allowed
--- a/crates/controller/src/retry_changes.rs
+++ b/crates/controller/src/retry_changes.rs
@@ -9,7 +9,7 @@
     Allowed,
     /// The fleet is overloaded, or was and has not recovered.
     Overload,
-    /// Reports do not show the load yet: the fleet may be overloaded.
+    /// Hosts warm up, and reports do not show the load yet: the fleet may be overloaded.
     LoadUnknown,
 }
 
