No retries are ordered anywhere while a host warms up

Cause: retries elsewhere keep full the hosts that tables share; these turn others away, whose clients come again at hosts with room. Change: retries.rs owns the decision, for an overload and for hosts that warm up; while the load is not known nothing more is needed, since it matters only where a host warms up. A table with a warming host is told like a hazard, the others in their turn.

--- a/crates/controller/src/admission_control.rs
+++ b/crates/controller/src/admission_control.rs
@@ -4,11 +4,10 @@
 use crate::admission_changes::AdmissionCause;
 use crate::admission_view::AdmissionView;
 use crate::attempt_stats::LOAD_WINDOW;
-use crate::config::{DeploymentConfig, RetryPolicy};
+use crate::config::DeploymentConfig;
 use crate::fleet_throughput::FleetThroughput;
 use crate::load_evidence::{LoadEvidence, LoadEvidenceTracker};
 use crate::proxy::{Proxy, ProxyRegistry};
-use crate::retry_changes::RetryCause;
 use crate::startup_limit::StartupLimit;
 use crate::statistics::{EPSILON, moving_average};
 use crate::time::{DurationExt, Time};
@@ -19,7 +18,7 @@
 const OVERLOAD_LATENCY_FRACTION: f64 = 0.36;
 /// The fleet is overloaded when the median host's failure ratio exceeds this value.
 const OVERLOAD_FAILURE_RATIO: f64 = 0.3;
-/// Overload below which the admitted rate rises fast, and stopped retries resume.
+/// Overload below which the admitted rate rises fast.
 const LOW_OVERLOAD: f64 = 0.6;
 /// Maximum factor on overload for capacity lost since the reports; limited because endpoint lists can be wrong.
 const MAX_LOST_CAPACITY_RATIO: f64 = 2.0;
@@ -64,8 +63,6 @@
     /// How well the load was known at the last update.
     evidence: LoadEvidence,
     startup_limit: StartupLimit,
-    /// Whether retries have stopped because of an overload.
-    are_retries_stopped: bool,
 }
 
 impl AdmissionController {
@@ -91,7 +88,6 @@
             evidence_tracker: LoadEvidenceTracker::new(now),
             evidence: LoadEvidence::Missing,
             startup_limit: StartupLimit::none(),
-            are_retries_stopped: false,
         }
     }
 
@@ -105,26 +101,6 @@
         &self.lowest_priority_first
     }
 
-    /// Returns how proxies retry attempts: not where hosts turn requests away because the fleet is overloaded, as it may be
-    /// while hosts warm up and the load is not known.
-    pub(crate) fn retry_policy(&self) -> RetryPolicy {
-        match self.retry_cause() {
-            RetryCause::Allowed => RetryPolicy::IfUnprocessed,
-            RetryCause::Overload | RetryCause::LoadUnknown => RetryPolicy::Never,
-        }
-    }
-
-    /// Returns why proxies may retry attempts, or may not.
-    pub(crate) fn retry_cause(&self) -> RetryCause {
-        if self.are_retries_stopped {
-            RetryCause::Overload
-        } else if !self.is_load_known() && self.startup_limit.is_shedding() {
-            RetryCause::LoadUnknown
-        } else {
-            RetryCause::Allowed
-        }
-    }
-
     /// Returns the overload of the fleet; load is shed above 1.
     pub(crate) fn overload(&self) -> f64 {
         self.overload
@@ -244,7 +220,6 @@
         let by_failures = failure_ratio / OVERLOAD_FAILURE_RATIO;
         self.overload = by_latency.max(by_failures) * self.lost_capacity_ratio;
         let peak = self.peak_rate(view, demand);
-        self.update_retry_policy();
         self.update_admitted_rate(view, demand, peak);
         self.update_startup_limit(view, demand);
         self.update_fractions(&by_class);
@@ -318,15 +293,6 @@
         self.capacity = capacity;
     }
 
-    /// Stops retries under overload, until it is low: they would bring it back.
-    fn update_retry_policy(&mut self) {
-        if self.overload > 1.0 {
-            self.are_retries_stopped = true;
-        } else if self.overload < LOW_OVERLOAD {
-            self.are_retries_stopped = false;
-        }
-    }
-
     /// Cuts the admitted rate under overload and raises it otherwise.
     fn update_admitted_rate(&mut self, view: &AdmissionView<'_>, demand: f64, peak: f64) {
         if self.overload > 1.0 && demand > 0.0 {
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -20,7 +20,7 @@
 use crate::placement::Placement;
 use crate::proxy::ProxyRegistry;
 use crate::publishing::UpdatePolicy;
-use crate::retry_changes::{RetryChange, RetryChanges};
+use crate::retries::{RetryChange, RetryControl};
 use crate::start_propagation::{StartPropagation, StartPropagationLog};
 use crate::status::StatusSnapshot;
 use crate::table_admission::TableAdmission;
@@ -109,7 +109,7 @@
     decisions: VecDeque<Decision>,
     transitions: TransitionLog,
     admission_changes: AdmissionChanges,
-    retry_changes: RetryChanges,
+    retries: RetryControl,
     start_propagation: StartPropagationLog,
 }
 
@@ -151,7 +151,7 @@
             decisions: VecDeque::new(),
             transitions: TransitionLog::default(),
             admission_changes: AdmissionChanges::default(),
-            retry_changes: RetryChanges::default(),
+            retries: RetryControl::default(),
             start_propagation: StartPropagationLog::default(),
         }
     }
@@ -189,7 +189,7 @@
     /// Takes the changes of what proxies are told about retries since the last call, for logs. Only the latest 1,024 are
     /// kept.
     pub fn take_retry_changes(&mut self) -> Vec<RetryChange> {
-        self.retry_changes.take()
+        self.retries.take()
     }
 
     /// Takes the hosts that had started and whose weight was lowered in all tables since the last call, for logs. Only the
--- a/crates/controller/src/controller/decide.rs
+++ b/crates/controller/src/controller/decide.rs
@@ -11,6 +11,7 @@
 use crate::outlier_detection::FleetView;
 use crate::placement::PlacementView;
 use crate::publishing::{Published, UpdateRound};
+use crate::retries::RetryCause;
 use crate::statistics::EPSILON;
 use crate::table_admission::{TableAdmission, TableAdmissionView, table_admissions};
 use crate::time::{DurationExt, Time};
@@ -65,8 +66,8 @@
         self.update_admission(AdmissionController::refresh_without_evidence, 0.0);
         let is_round_due = timer_fired || expedite;
         self.record_admission_change();
-        self.retry_changes
-            .observe(self.admission.retry_cause(), self.admission.overload());
+        self.retries
+            .observe(self.retry_cause(), self.admission.overload());
         self.limit_admission();
         if is_round_due {
             self.update_placement();
@@ -94,6 +95,7 @@
         self.proxies.decay_rates();
         update_weight_reductions(&mut self.hosts, &self.host_policy, self.now, elapsed_s);
         self.update_admission(AdmissionController::update, elapsed_s);
+        self.retries.on_overload(self.admission.overload());
     }
 
     /// Calls an update of admission control. `elapsed_s` is the number of seconds since the last one.
@@ -123,6 +125,11 @@
         self.place_hosts(&traffic);
     }
 
+    /// Returns why proxies may retry attempts, or may not.
+    fn retry_cause(&self) -> RetryCause {
+        self.retries.cause(&self.hosts, &self.host_policy, self.now)
+    }
+
     /// Records for the log which hosts that have started still have their old weight.
     fn observe_start_propagation(&mut self) {
         self.start_propagation
@@ -157,7 +164,7 @@
             lowest_priority_first: self.admission.lowest_priority_first(),
             warming_limit: self.warming_limit(),
             attempts_per_request: self.attempts_per_request(),
-            retry_policy: self.admission.retry_policy(),
+            retry_policy: self.retry_cause().policy(),
         });
     }
 
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -31,7 +31,7 @@
 mod publishing;
 mod rate_model;
 mod report;
-mod retry_changes;
+mod retries;
 mod shards;
 mod slow_start;
 mod start_propagation;
@@ -56,7 +56,7 @@
 pub use outlier_detection::{EjectionCause, HealthCheckResult};
 pub use proxy::JoiningProxy;
 pub use report::{AttemptOutcomes, HostLoad};
-pub use retry_changes::{RetryCause, RetryChange};
+pub use retries::{RetryCause, RetryChange};
 pub use start_propagation::StartPropagation;
 pub use status::{
     HostFailures, LineCounts, MessageCapStatus, StatusSnapshot, Throughput, UpdateQueueStatus,
--- a/crates/controller/src/table_admission.rs
+++ b/crates/controller/src/table_admission.rs
@@ -34,7 +34,7 @@
     pub(crate) warming_limit: WarmingLimit,
     /// Attempts at hosts for each admitted request.
     pub(crate) attempts_per_request: f64,
-    /// How proxies may retry attempts in tables without a warming host.
+    /// How proxies retry attempts.
     pub(crate) retry_policy: RetryPolicy,
 }
 
@@ -49,7 +49,7 @@
     warming_limit: Option<f64>,
     /// Whether it has a warming host, or should have one.
     has_warming_hosts: bool,
-    /// How its proxies may retry attempts while it has none.
+    /// How its proxies retry attempts.
     retry_policy: RetryPolicy,
 }
 
@@ -59,14 +59,9 @@
         &self.fractions
     }
 
-    /// Returns how the table's proxies retry attempts that hosts have turned away: not while it has a warming host, which
-    /// has room for what full hosts turn away until it falls over.
+    /// Returns how the table's proxies retry attempts.
     pub(crate) fn retry_policy(&self) -> RetryPolicy {
-        if self.has_warming_hosts {
-            RetryPolicy::Never
-        } else {
-            self.retry_policy
-        }
+        self.retry_policy
     }
 
     /// Returns whether retries put a warming host of the table at risk.
--- a/crates/controller/src/tables.rs
+++ b/crates/controller/src/tables.rs
@@ -263,7 +263,9 @@
     /// Returns whether the table's proxies admit or retry so much, by what they were sent, that its warming hosts are at
     /// risk.
     pub(crate) fn exceeds(&self, admission: &TableAdmission) -> bool {
-        let retries_to_warming_hosts = admission.has_warming_hosts() && self.may_retry();
+        let is_stopped = admission.retry_policy() == RetryPolicy::Never;
+        let retries_to_warming_hosts =
+            is_stopped && admission.has_warming_hosts() && self.may_retry();
         retries_to_warming_hosts || admission.is_exceeded_by(&self.sent_fractions)
     }
 
@@ -295,10 +297,9 @@
 
 /// Returns the initial state of all tables.
 pub(crate) fn new_tables(layout: &TableLayout, config: &DeploymentConfig) -> Vec<TableState> {
-    // Updates set `RetryPolicy::IfUnprocessed` where no host warms up and the fleet is known not to be overloaded: proof that an attempt was not processed makes a retry safe for
-    // every class. After other failures, retries do not help even idempotent classes: waiting for them cuts slow
-    // responses short, and they increase overload. If this is the default policy too, the proxies need no initial
-    // update.
+    // Updates set `RetryPolicy::IfUnprocessed` unless retries are stopped. After other failures, retries do not help even
+    // idempotent classes: waiting for them cuts slow responses short, and they increase overload. If this is the default
+    // policy too, the proxies need no initial update.
     let is_default = config.base_retry_policy == Some(RetryPolicy::IfUnprocessed);
     let table = TableState {
         sent_fractions: vec![is_default.then_some(1.0); config.request_classes.len()],
