The last message of the cap is for what a change of a host requires

Cause: a table that is about to get a warming host must stop retries, which was sent like a hazard and could take the last token, as hazards by load could; a host that restarted a moment later kept its old weight until the refill. Change: only hazards that a line of the table causes by a change of its host take the last token after 0.1 s; those by load, admission or retries leave it.

--- a/crates/controller/src/publishing.rs
+++ b/crates/controller/src/publishing.rs
@@ -25,7 +25,8 @@
 /// Time for which a hazard waits for others if it would use the last message cap token: several changes of the endpoint
 /// list may arrive one right after the other, and the message for the first counts as one that knows of the others.
 const LAST_TOKEN_INTERVAL: Duration = Duration::from_millis(100);
-/// Message cap tokens required for a hazard that has not waited.
+/// Message cap tokens required for a hazard that has not waited, or that no change of a host has caused: the last token is
+/// for such changes.
 const NEW_HAZARD_TOKENS: f64 = 2.0;
 /// Message cap tokens required for a safety-critical update or a binding.
 pub(crate) const URGENT_TOKENS: f64 = 1.0;
@@ -90,6 +91,8 @@
 struct PendingUpdate {
     /// The most urgent reason among its differences; `None` if there are none.
     reason: Option<UpdateReason>,
+    /// Whether a line alone makes it safety-critical, by a change of its host.
+    has_unsafe_line: bool,
     /// Number of usable hosts that the proxies have in the table.
     usable_hosts: usize,
     /// Number of those that stay in the table.
@@ -162,7 +165,7 @@
             if self.is_full() {
                 return Published::BatchFull;
             }
-            match self.due(table, reason) {
+            match self.due(table, reason, pending[table].has_unsafe_line) {
                 Due::Now => {}
                 Due::Accumulating => continue,
                 Due::HeldByCap => {
@@ -199,6 +202,7 @@
         let tables = self.tables.iter_mut().zip(self.admissions);
         let tables = tables.zip(exposed_tables);
         for (update, ((table, admission), is_exposed)) in pending.iter_mut().zip(tables) {
+            update.has_unsafe_line = update.reason >= Some(UpdateReason::Hazard);
             if !table.is_used() {
                 update.reason = None;
                 continue;
@@ -264,7 +268,7 @@
     }
 
     /// Returns whether the differences of a table have accumulated for long enough and the message cap has tokens.
-    fn due(&self, table: usize, reason: UpdateReason) -> Due {
+    fn due(&self, table: usize, reason: UpdateReason, has_unsafe_line: bool) -> Due {
         let table = &self.tables[table];
         let is_old_enough = |interval: Duration| {
             let pending_since = table.pending_since();
@@ -273,7 +277,8 @@
         let deferrable_tokens = self.policy.message_cap.deferrable_tokens();
         let (is_ready, tokens) = match reason {
             UpdateReason::Drain => (true, URGENT_TOKENS),
-            UpdateReason::Hazard => (true, self.hazard_tokens(table)),
+            UpdateReason::Hazard if has_unsafe_line => (true, self.hazard_tokens(table)),
+            UpdateReason::Hazard => (true, NEW_HAZARD_TOKENS),
             UpdateReason::Expedited => (is_old_enough(EXPEDITED_INTERVAL), deferrable_tokens),
             UpdateReason::Ordinary => (
                 is_old_enough(self.policy.ordinary_interval),
