--- a/crates/cli/tests/platform/loaded_burst.rs
+++ b/crates/cli/tests/platform/loaded_burst.rs
@@ -6,7 +6,7 @@
 use crate::loaded_host::{HostProfile, OVERLOAD_MULTIPLE, OVERLOAD_SPAN_S};
 use crate::loaded_judge::Overloaded;
 use crate::loaded_soak::{host_name, unix_ms};
-use crate::loaded_world::{DayParameters, ProxyRates};
+use crate::loaded_world::{DayParameters, ProxyRates, ZONES};
 use std::thread;
 use std::time::Duration;
 
@@ -31,6 +31,7 @@
 /// Every other host is slow.
 pub(crate) fn profiles() -> Vec<(String, HostProfile)> {
     let profile = |n: usize| HostProfile {
+        zone: ZONES[n % ZONES.len()],
         weight: 1.5,
         full_rate: if n.is_multiple_of(2) {
             7.0 * SLOW_SPEED
--- a/crates/cli/tests/platform/loaded_faults.rs
+++ b/crates/cli/tests/platform/loaded_faults.rs
@@ -89,7 +89,7 @@
         self.note(&format!("crash of {hosts:?}"));
         let down_s = match self.kind {
             DayKind::Churn => CRASH_S,
-            DayKind::Outages | DayKind::FewFaults => LONG_CRASH_S,
+            DayKind::Outages | DayKind::FewFaults | DayKind::Reported => LONG_CRASH_S,
         };
         let starts_at = now + between(&mut self.random, down_s);
         for host in hosts {
--- a/crates/cli/tests/platform/loaded_fleet.rs
+++ b/crates/cli/tests/platform/loaded_fleet.rs
@@ -292,7 +292,7 @@
 ) -> BTreeMap<String, HostAttributes> {
     let mut listeners = Vec::new();
     let mut listed = BTreeMap::new();
-    for (n, (id, profile)) in hosts.iter().enumerate() {
+    for (id, profile) in hosts {
         let (listener, address) = bind_listener();
         listener
             .set_nonblocking(true)
@@ -300,7 +300,7 @@
         listeners.push((id.clone(), listener));
         let attributes = HostAttributes {
             address,
-            zone: ZONES[n % ZONES.len()],
+            zone: profile.zone,
             weight: profile.weight,
         };
         listed.insert(id.clone(), attributes);
--- a/crates/cli/tests/platform/loaded_host.rs
+++ b/crates/cli/tests/platform/loaded_host.rs
@@ -16,6 +16,7 @@
 /// What a host can do.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct HostProfile {
+    pub zone: &'static str,
     /// The weight that the endpoint list gives it.
     pub weight: f64,
     /// Requests per second that it can do when it is warm.
--- a/crates/cli/tests/platform/loaded_outages.rs
+++ b/crates/cli/tests/platform/loaded_outages.rs
@@ -157,7 +157,7 @@
     }
 
     /// Injects the faults of a day with few of them that are due.
-    fn inject_few(&mut self, now: f64) {
+    pub(crate) fn inject_few(&mut self, now: f64) {
         let before = self.outages.few_faults_at.len();
         self.outages.few_faults_at.retain(|at| now < *at);
         for _ in self.outages.few_faults_at.len()..before {
@@ -244,7 +244,7 @@
         }
     }
 
-    fn end_faults(&mut self, now: f64) {
+    pub(crate) fn end_faults(&mut self, now: f64) {
         if let Some((_, controller)) = self
             .outages
             .slow_channel
--- a/crates/cli/tests/platform/loaded_soak.rs
+++ b/crates/cli/tests/platform/loaded_soak.rs
@@ -13,7 +13,8 @@
 use crate::loaded_host::{HostProfile, LoadedHost, OVERLOAD_MULTIPLE};
 use crate::loaded_judge::Overloaded;
 use crate::loaded_outages::{Outages, RATE_VARIATION};
-use crate::loaded_world::{DayParameters, ProxyRates};
+use crate::loaded_reported_day::{self, ReportedDay};
+use crate::loaded_world::{DayParameters, ProxyRates, ZONES};
 use fastrand::Rng;
 use std::net::TcpStream;
 use std::thread;
@@ -49,6 +50,8 @@
     Outages,
     /// Controllers end together and one after the other, with one to three other faults in all, as the pages have it.
     FewFaults,
+    /// The day that was reported three times, with one to three other faults.
+    Reported,
 }
 
 impl DayKind {
@@ -56,7 +59,7 @@
     fn faults_until_s(self) -> f64 {
         match self {
             DayKind::Churn => 48.0,
-            DayKind::Outages | DayKind::FewFaults => 54.0,
+            DayKind::Outages | DayKind::FewFaults | DayKind::Reported => 54.0,
         }
     }
 
@@ -64,6 +67,7 @@
     fn end_s(self) -> f64 {
         match self {
             DayKind::Churn => 56.0,
+            DayKind::Reported => 58.0,
             DayKind::Outages | DayKind::FewFaults => 62.0,
         }
     }
@@ -202,6 +206,8 @@
     pub kind: DayKind,
     /// What else happens on a day of outages.
     pub outages: Outages,
+    /// What is still to come of the reported day.
+    pub reported_day: ReportedDay,
 }
 
 pub(crate) fn host_name(n: usize) -> String {
@@ -217,7 +223,7 @@
     from + (to - from) * random.f64()
 }
 
-fn draw_profiles(random: &mut Rng) -> Vec<(String, HostProfile)> {
+pub(crate) fn draw_profiles(random: &mut Rng) -> Vec<(String, HostProfile)> {
     /// Weight of the kinds, and work per second and unit of weight.
     const KIND_WEIGHTS: [f64; 2] = [1.5, 2.0];
     const RATE_PER_WEIGHT: f64 = 4.5;
@@ -233,6 +239,7 @@
             let speed = 0.65 + 0.7 * (random.f64() + random.f64()) / 2.0;
             let cores = kind + 1;
             let profile = HostProfile {
+                zone: ZONES[n % ZONES.len()],
                 weight: KIND_WEIGHTS[kind],
                 full_rate: KIND_WEIGHTS[kind] * RATE_PER_WEIGHT * speed,
                 max_held: cores * random.usize(8..=24),
@@ -250,10 +257,10 @@
         let is_overloaded = random.u32(0..4) == 0;
         let utilization = between(
             &mut random,
-            if is_overloaded {
-                (0.95, 1.2)
-            } else {
-                (0.39, 0.72)
+            match kind {
+                DayKind::Reported => loaded_reported_day::UTILIZATION,
+                _ if is_overloaded => (0.95, 1.2),
+                _ => (0.39, 0.72),
             },
         );
         let stated = std::env::var("LOADED_UTILIZATION").ok();
@@ -267,7 +274,7 @@
             transit_s: between(&mut random, (0.09, 0.43)),
             rates: match kind {
                 DayKind::Churn => ProxyRates::Even,
-                DayKind::Outages | DayKind::FewFaults => {
+                DayKind::Outages | DayKind::FewFaults | DayKind::Reported => {
                     ProxyRates::Varied(between(&mut random, RATE_VARIATION))
                 }
             },
@@ -279,8 +286,12 @@
             initial_capacity: 0.17,
             warm_after_s: 18.0,
         };
-        let profiles = draw_profiles(&mut random);
+        let profiles = match kind {
+            DayKind::Reported => loaded_reported_day::profiles(&mut random),
+            DayKind::Churn | DayKind::Outages | DayKind::FewFaults => draw_profiles(&mut random),
+        };
         let outages = Outages::draw(&mut Rng::with_seed(!seed));
+        let reported_day = ReportedDay::draw(&mut Rng::with_seed(seed.swap_bytes()));
         Day {
             fleet: LoadedFleet::start(seed, parameters.clone(), settings, &profiles),
             random,
@@ -296,6 +307,7 @@
             proxies_wait,
             kind,
             outages,
+            reported_day,
         }
     }
 
@@ -317,11 +329,11 @@
             self.advance(now);
             self.start_controllers(now);
             let is_open = now < self.kind.faults_until_s();
-            if is_open && now >= wave_at {
+            let has_many_faults = matches!(self.kind, DayKind::Churn | DayKind::Outages);
+            if is_open && self.kind != DayKind::Reported && now >= wave_at {
                 wave_at = now + between(&mut self.random, WAVE_INTERVAL_S);
                 self.replace_hosts(now);
             }
-            let has_many_faults = self.kind != DayKind::FewFaults;
             if is_open && has_many_faults && now >= crash_at {
                 crash_at = now + between(&mut self.random, (8.0, 25.0));
                 self.crash_hosts(now);
@@ -337,8 +349,14 @@
             if self.has_churn() {
                 self.break_streams(now);
             }
-            if self.kind != DayKind::Churn {
-                self.advance_outages(now);
+            match self.kind {
+                DayKind::Churn => {}
+                DayKind::Outages | DayKind::FewFaults => self.advance_outages(now),
+                DayKind::Reported => {
+                    self.advance_reported_day(now);
+                    self.end_faults(now);
+                    self.inject_few(now);
+                }
             }
             thread::sleep(TICK);
         }
@@ -346,7 +364,10 @@
     }
 
     fn has_churn(&self) -> bool {
-        self.kind == DayKind::Churn || self.outages.has_churn
+        match self.kind {
+            DayKind::Churn | DayKind::Reported => true,
+            DayKind::Outages | DayKind::FewFaults => self.outages.has_churn,
+        }
     }
 
     fn outcome(self, seed: u64) -> Outcome {
@@ -452,7 +473,10 @@
             lifecycle: "Ready",
             started_ms: unix_ms(),
         };
-        let late = between(&mut self.random, (0.27, 2.5));
+        let late = match self.kind {
+            DayKind::Reported => self.draw_list_delay(),
+            _ => between(&mut self.random, (0.27, 2.5)),
+        };
         self.tell_all(now + late, &[(host.to_string(), listed)]);
     }
 
@@ -530,3 +554,13 @@
 fn no_overload_is_likely_when_controllers_end_together() {
     assert_rules_kept(DayKind::Outages, Outcome::is_no_overload_likely);
 }
+
+#[test]
+fn no_warming_host_is_overloaded_on_the_day_that_was_reported_three_times() {
+    assert_rules_kept(DayKind::Reported, Outcome::is_no_host_overloaded);
+}
+
+#[test]
+fn no_overload_is_likely_on_the_day_that_was_reported_three_times() {
+    assert_rules_kept(DayKind::Reported, Outcome::is_no_overload_likely);
+}
--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -11,8 +11,9 @@
 //!   speed, and proxies that avoid hosts and move between controllers; `loaded_reports`: what these report; `loaded_judge`:
 //!   what breaks the rule.
 //! - `loaded_soak`, `loaded_faults`, `loaded_outages`: seeded days of a release under faults, with that fleet.
-//! - `loaded_burst`, `loaded_outage`, `loaded_retries`: a burst, proxies that lose their controller, and retries in an
-//!   overload, while hosts warm up.
+//! - `loaded_reported_day`: the plan of a day that broke the rule in three reports.
+//! - `loaded_burst`, `loaded_outage`, `loaded_retries`, `loaded_presence`: a burst, proxies that lose their controller, retries in
+//!   an overload, and what avoided hosts leave to others, while hosts warm up.
 //! - `clients`, `endpoint_watch`, `relay_connections`: tests of the controller's clients, its registry watch and its
 //!   connections to the relay.
 //! - `lifecycle`, `startup`, `reload`, `shutdown`: tests of whole runs, of start-up, of SIGHUP and of termination.
@@ -29,6 +30,7 @@
 mod endpoint_watch;
 mod fake_registry;
 mod lifecycle;
+
 mod loaded_burst;
 mod loaded_faults;
 mod loaded_fleet;
@@ -36,7 +38,9 @@
 mod loaded_judge;
 mod loaded_outage;
 mod loaded_outages;
+mod loaded_presence;
 mod loaded_proxy;
+mod loaded_reported_day;
 mod loaded_reports;
 mod loaded_retries;
 mod loaded_soak;
