A warming host is in no table, or in tables without warm hosts

Proxies avoid hosts that fail, clients repeat, one proxy sends much: at worst a host gets all requests of its tables. Change: table_eligibility.rs decides who may be in tables, by the list: nobody who warms up, unless the warm hosts have under half of the listed weight or load is shed. Then warming_tables.rs gives the warming hosts of a shard tables of their own, as many as they can take by the limit, so that what avoids the warm hosts has no warming host to turn to. A shard with under three warm hosts takes others beyond the limits on shared hosts. Which excluded warming hosts from failing tables is gone: they are in none. Retries stop while a warming host should be in tables, no longer for one that is in none: nothing can reach it there. Log: the phase Waiting beside WarmingUp in 'host phase changed'.

--- a/crates/controller/src/controller/decide.rs
+++ b/crates/controller/src/controller/decide.rs
@@ -14,6 +14,7 @@
 use crate::retries::RetryCause;
 use crate::statistics::EPSILON;
 use crate::table_admission::{TableAdmission, TableAdmissionView, table_admissions};
+use crate::table_eligibility::update_eligibility;
 use crate::time::{DurationExt, Time};
 use crate::warming_limit::WarmingLimit;
 use crate::weight_reduction::update_weight_reductions;
@@ -63,6 +64,14 @@
             return;
         }
         self.usual_load.observe(&self.hosts);
+        let has_zone_tables = self.layout.has_zone_tables();
+        update_eligibility(
+            &mut self.hosts,
+            &self.host_policy,
+            self.now,
+            has_zone_tables,
+            self.admission.is_shedding(),
+        );
         self.update_admission(AdmissionController::refresh_without_evidence, 0.0);
         let is_round_due = timer_fired || expedite;
         self.record_admission_change();
@@ -262,7 +271,6 @@
             now: self.now,
             policy: &self.host_policy,
             layout: &self.layout,
-            reports: &self.reports,
             usage: &traffic.usage,
             attempts_per_arrival: traffic.admitted_fraction * attempts_per_request,
             attempts_by_table: &attempts_by_table,
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -39,12 +39,14 @@
 mod statistics;
 mod status;
 mod table_admission;
+mod table_eligibility;
 mod tables;
 mod time;
 mod transitions;
 mod update_queue;
 mod usual_load;
 mod warming_limit;
+mod warming_tables;
 mod weight_reduction;
 
 pub use admission_changes::{AdmissionCause, AdmissionChange};
--- a/crates/controller/src/placement.rs
+++ b/crates/controller/src/placement.rs
@@ -5,7 +5,6 @@
 use crate::endpoint::EndpointState;
 use crate::host::{Host, HostRegistry};
 use crate::host_policy::HostPolicy;
-use crate::load_reports::LoadReports;
 use crate::shards::{
     MAX_SHARED_HOSTS, MAX_TABLES_PER_HOST, MIN_TABLE_HOSTS, Shard, ShardAssignment, ShardDraw,
     ShardMember, table_preference,
@@ -14,17 +13,16 @@
 use crate::tables::TableLayout;
 use crate::time::Time;
 use crate::warming_limit::{LimitedWeight, WarmingLimit, limited_weights};
+use crate::warming_tables::{ShardTable, choose_warming_tables};
 use std::collections::BTreeMap;
 
 /// Minimum warm fraction for a usable host to count as warm enough, so that its table needs no stand-in for it.
 pub(crate) const MIN_WARM_ENOUGH_FRACTION: f64 = 0.5;
+/// Minimum number of warm or warming hosts of a shard for tables of their own: two would have to take all requests of one
+/// that is lost.
+const MIN_SEPARATE_HOSTS: usize = 3;
 /// Relative usage above which a table borrows hosts from other tables.
 const MIN_BORROWING_USAGE: f64 = 1.15;
-/// Success ratio of a table below which warming hosts are kept out of it.
-const MIN_SUCCESS_RATIO: f64 = 0.85;
-/// Minimum fraction of warm hosts in a table for keeping warming hosts out of it: fewer warm hosts would certainly be
-/// overloaded without them.
-const MIN_WARM_HOST_FRACTION: f64 = 0.5;
 /// Resolution of weights: steps per unit of weight.
 const STEPS_PER_WEIGHT: f64 = 1e3;
 
@@ -33,7 +31,6 @@
     pub(crate) now: Time,
     pub(crate) policy: &'a HostPolicy,
     pub(crate) layout: &'a TableLayout,
-    pub(crate) reports: &'a LoadReports,
     /// Requests per second of the proxies of each shared table.
     pub(crate) usage: &'a [f64],
     /// Attempts at hosts for each request that reaches a proxy, by what is admitted and retried.
@@ -52,6 +49,12 @@
     warm_fraction: Vec<f64>,
     /// Whether each host is ready and not ejected.
     usable: Vec<bool>,
+    /// Whether each host is usable and may be in shared tables.
+    in_shared_tables: Vec<bool>,
+    /// Whether each host is usable and may be in the table of its zone.
+    in_zone_tables: Vec<bool>,
+    /// Whether a usable host is warm.
+    has_warm_host: bool,
     /// Weight of each host, reduced for warming up, probation and high load.
     weight: Vec<f64>,
     /// Maximum number of hosts in a table.
@@ -59,8 +62,14 @@
 }
 
 impl Fleet {
+    /// Returns whether a host can stand in for another: it is warm or, in a fleet without warm hosts, warm enough.
     fn is_warm_enough(&self, host: usize) -> bool {
-        self.usable[host] && self.warm_fraction[host] >= MIN_WARM_ENOUGH_FRACTION
+        let min_fraction = if self.has_warm_host {
+            1.0
+        } else {
+            MIN_WARM_ENOUGH_FRACTION
+        };
+        self.in_shared_tables[host] && self.warm_fraction[host] >= min_fraction
     }
 
     fn is_warm(&self, host: usize) -> bool {
@@ -145,16 +154,25 @@
     fn fleet(&self, hosts: &HostRegistry, view: &PlacementView<'_>) -> Fleet {
         let PlacementView { policy, now, .. } = *view;
         let max_hosts = MAX_TABLES_PER_HOST * self.listed.len() / self.base_shards.len();
+        let is_usable = |host: &Host| policy.is_usable(host, now);
         Fleet {
             listed: self.listed.clone(),
             warm_fraction: hosts
                 .iter()
                 .map(|host| policy.warm_fraction(host, now))
                 .collect(),
-            usable: hosts
+            usable: hosts.iter().map(is_usable).collect(),
+            in_shared_tables: hosts
+                .iter()
+                .map(|host| is_usable(host) && host.eligibility.shared)
+                .collect(),
+            in_zone_tables: hosts
                 .iter()
-                .map(|host| policy.is_usable(host, now))
+                .map(|host| is_usable(host) && host.eligibility.zone)
                 .collect(),
+            has_warm_host: hosts
+                .iter()
+                .any(|host| is_usable(host) && policy.is_warm(host, now)),
             weight: hosts
                 .iter()
                 .map(|host| policy.effective_weight(host, now))
@@ -176,14 +194,15 @@
     fn target_weights(&self) -> Vec<TargetWeight> {
         let mut assignment = ShardAssignment::new(self.base_shards.len(), self.hosts.len());
         for (table, shard) in self.base_shards.iter().enumerate() {
-            for member in shard.iter().filter(|member| self.fleet.usable[member.host]) {
+            let is_eligible = |member: &&ShardMember| self.fleet.in_shared_tables[member.host];
+            for member in shard.iter().filter(is_eligible) {
                 assignment.assign(table, member.host);
             }
         }
         self.add_stand_ins(&mut assignment);
         let usage = self.usage_by_shard();
         self.add_borrowed_hosts(&mut assignment, &usage);
-        let mut targets = self.shared_targets(&assignment, &usage);
+        let mut targets = self.shared_targets(&assignment);
         targets.extend(self.zone_targets());
         targets
     }
@@ -227,20 +246,45 @@
                 let Some(host) = found else { break };
                 assignment.assign(table, host);
             }
+            self.add_warm_hosts(assignment, table);
             self.fill_empty_table(assignment, table);
         }
     }
 
-    /// If the limits leave a table empty, adds any usable host, so that no proxy is without a host.
+    /// Adds warm hosts to a shard that has warming ones and too few warm ones for tables of their own, beyond the limits on
+    /// shared hosts: otherwise all its hosts would serve the same tables.
+    fn add_warm_hosts(&self, assignment: &mut ShardAssignment, table: usize) {
+        let is_warm = |host: usize| self.fleet.in_shared_tables[host] && self.fleet.is_warm(host);
+        let members = assignment.shard(table).iter();
+        let warm = members.filter(|member| is_warm(member.host)).count();
+        let warming = assignment.shard(table).len() - warm;
+        if warming == 0 {
+            return;
+        }
+        let rank = |host: usize, tables: usize| self.stand_in_rank(host, table, tables);
+        for _ in warm..MIN_SEPARATE_HOSTS {
+            let candidates = self.fleet.listed.iter().copied();
+            let candidates = candidates.filter(|&host| is_warm(host));
+            let found = assignment.find_stand_in(table, candidates, usize::MAX, rank);
+            let Some(host) = found else { break };
+            assignment.assign(table, host);
+        }
+    }
+
+    /// If the limits leave a table empty, adds any usable host, if possible an eligible one, so that no proxy is without a
+    /// host.
     fn fill_empty_table(&self, assignment: &mut ShardAssignment, table: usize) {
         if !assignment.shard(table).is_empty() {
             return;
         }
         let rank = |host: usize, tables: usize| self.stand_in_rank(host, table, tables);
-        let listed = self.fleet.listed.iter().copied();
-        let usable = listed.filter(|&host| self.fleet.usable[host]);
-        if let Some(host) = assignment.find_stand_in(table, usable, usize::MAX, rank) {
-            assignment.assign(table, host);
+        for candidates in [&self.fleet.in_shared_tables, &self.fleet.usable] {
+            let listed = self.fleet.listed.iter().copied();
+            let candidates = listed.filter(|&host| candidates[host]);
+            if let Some(host) = assignment.find_stand_in(table, candidates, usize::MAX, rank) {
+                assignment.assign(table, host);
+                return;
+            }
         }
     }
 
@@ -285,34 +329,78 @@
         assignment.balance_weights(usage, &self.fleet.weight);
     }
 
-    /// Returns the target weights of the shared tables.
-    ///
-    /// A warming host is kept out of a table that is mostly warm but failing: proxies avoid failing hosts and would
-    /// send everything to the warming one.
-    fn shared_targets(&self, assignment: &ShardAssignment, usage: &[f64]) -> Vec<TargetWeight> {
-        let shared_tables = self.view.layout.shared_tables();
+    /// Returns the target weights of the shared tables. The warm and the warming hosts of a shard serve different tables,
+    /// unless there are too few warm ones for a table.
+    fn shared_targets(&self, assignment: &ShardAssignment) -> Vec<TargetWeight> {
         let mut targets = Vec::new();
-        for (table, shard) in assignment.shards().iter().enumerate() {
-            let excludes_warming_hosts = self.excludes_warming_hosts(shard);
-            let is_included =
-                |member: &&ShardMember| !excludes_warming_hosts || self.fleet.is_warm(member.host);
-            let members: Vec<ShardMember> = shard.iter().filter(is_included).copied().collect();
-            let weights = self.table_weights(&members, usage[table]);
-            for (member, weight) in members.iter().zip(weights) {
-                let tables_of_shard = (table..shared_tables).step_by(usage.len());
-                targets.extend(tables_of_shard.map(|table| TargetWeight {
-                    host: member.host,
-                    table,
-                    weight,
-                }));
+        for (shard_index, shard) in assignment.shards().iter().enumerate() {
+            let is_warm = |member: &ShardMember| self.fleet.is_warm(member.host);
+            let (mut warm, mut warming): (Vec<_>, Vec<_>) =
+                shard.iter().partition(|member| is_warm(member));
+            if warm.len() < MIN_SEPARATE_HOSTS {
+                warm.append(&mut warming);
             }
+            let tables = self.tables_of_shard(shard_index);
+            let of_warming = if warming.len() < MIN_SEPARATE_HOSTS {
+                Vec::new()
+            } else {
+                choose_warming_tables(&tables, self.max_rate_of_members(&warming))
+            };
+            let of_warm = tables.iter().map(|table| table.table);
+            let of_warm: Vec<usize> = of_warm
+                .filter(|table| !of_warming.contains(table))
+                .collect();
+            targets.extend(self.targets_of_members(&warm, &of_warm));
+            targets.extend(self.targets_of_members(&warming, &of_warming));
         }
         targets
     }
 
+    /// Returns the shared tables that use a shard.
+    fn tables_of_shard(&self, shard: usize) -> Vec<ShardTable> {
+        let tables = (shard..self.view.layout.shared_tables()).step_by(self.base_shards.len());
+        let has_warming_hosts = |table: usize| {
+            let warming = self.hosts.iter().enumerate();
+            let mut warming = warming.filter(|(index, _)| !self.fleet.is_warm(*index));
+            warming.any(|(_, host)| host.memberships.is_sent_in(table))
+        };
+        tables
+            .map(|table| ShardTable {
+                table,
+                rate: self.view.usage[table] * self.view.attempts_per_arrival,
+                has_warming_hosts: has_warming_hosts(table),
+            })
+            .collect()
+    }
+
+    /// Returns the attempts per second that members of a table should get at most, all of them warming hosts.
+    fn max_rate_of_members(&self, members: &[&ShardMember]) -> f64 {
+        let rate = |member: &&ShardMember| {
+            let max_rate = self.max_rate_by_weight(member.host).unwrap_or(0.0);
+            max_rate * member.weight_fraction
+        };
+        members.iter().map(rate).sum()
+    }
+
+    /// Returns the target weights of the members of a shard in these tables of it.
+    fn targets_of_members(&self, members: &[&ShardMember], tables: &[usize]) -> Vec<TargetWeight> {
+        let usage = tables.iter().map(|&table| self.view.usage[table]).sum();
+        let weights = self.table_weights(members, usage);
+        let members = members.iter().zip(weights);
+        members
+            .flat_map(|(member, weight)| {
+                tables.iter().map(move |&table| TargetWeight {
+                    host: member.host,
+                    table,
+                    weight,
+                })
+            })
+            .collect()
+    }
+
     /// Returns the weights of the members of a table with this usage. The load of each warming host is limited, also if
     /// its table has few hosts or busy proxies.
-    fn table_weights(&self, members: &[ShardMember], usage: f64) -> Vec<f64> {
+    fn table_weights(&self, members: &[&ShardMember], usage: f64) -> Vec<f64> {
         let limited = members.iter().map(|member| LimitedWeight {
             weight: self.fleet.weight[member.host] * member.weight_fraction,
             max_rate: self
@@ -323,32 +411,13 @@
         limited_weights(&limited.collect::<Vec<_>>(), rate)
     }
 
-    /// Returns whether a table has enough warm hosts and a success ratio below the limit, so that warming hosts stay
-    /// out.
-    fn excludes_warming_hosts(&self, shard: &Shard) -> bool {
-        let warm = shard
-            .iter()
-            .filter(|member| self.fleet.is_warm(member.host));
-        let warm = warm.count() as f64;
-        let hosts = shard.iter().map(|member| self.hosts.at(member.host));
-        let throughput = self.view.reports.throughput(hosts);
-        warm >= (shard.len() as f64 * MIN_WARM_HOST_FRACTION).max(1.0)
-            && throughput.successes < throughput.attempts * MIN_SUCCESS_RATIO
-    }
-
     /// Returns the target weights of the zone tables: each has all hosts of its zone, for the zone-local classes. What a
     /// warming host may be sent is split between its shared tables and its zone's table like all attempts.
     fn zone_targets(&self) -> Vec<TargetWeight> {
-        let mut hosts_by_table: BTreeMap<usize, Vec<usize>> = BTreeMap::new();
-        for &host in self
-            .fleet
-            .listed
-            .iter()
-            .filter(|&&host| self.fleet.usable[host])
-        {
-            if let Some(table) = self.view.layout.zone_table(self.hosts.at(host).zone()) {
-                hosts_by_table.entry(table).or_default().push(host);
-            }
+        let mut hosts_by_table = self.hosts_by_zone_table(&self.fleet.in_zone_tables);
+        // A zone without an eligible host gets all its usable ones.
+        for (table, hosts) in self.hosts_by_zone_table(&self.fleet.usable) {
+            hosts_by_table.entry(table).or_insert(hosts);
         }
         let zone_part = self.zone_part_of_attempts();
         let mut targets = Vec::new();
@@ -369,6 +438,18 @@
         targets
     }
 
+    /// Returns the hosts of each zone table among the listed hosts that `is_included` names.
+    fn hosts_by_zone_table(&self, is_included: &[bool]) -> BTreeMap<usize, Vec<usize>> {
+        let mut hosts_by_table: BTreeMap<usize, Vec<usize>> = BTreeMap::new();
+        let listed = self.fleet.listed.iter();
+        for &host in listed.filter(|&&host| is_included[host]) {
+            if let Some(table) = self.view.layout.zone_table(self.hosts.at(host).zone()) {
+                hosts_by_table.entry(table).or_default().push(host);
+            }
+        }
+        hosts_by_table
+    }
+
     /// Returns the part of all attempts that go by the zone tables.
     fn zone_part_of_attempts(&self) -> f64 {
         let by_table = self.view.attempts_by_table;
--- a/crates/controller/src/retries.rs
+++ b/crates/controller/src/retries.rs
@@ -7,7 +7,6 @@
 use crate::event_buffer::EventBuffer;
 use crate::host::{Host, HostRegistry};
 use crate::host_policy::HostPolicy;
-use crate::memberships::TableMembership;
 use crate::time::Time;
 
 /// Overload above which retries stop, and below which they resume: they would bring it back.
@@ -86,8 +85,8 @@
     }
 }
 
-/// Returns whether a host is warming up and may be sent requests, now or by lines that proxies may still have.
+/// Returns whether a host is warming up and should be in tables. One that should be in none needs no such order: the
+/// message that tells of it takes it out of the tables.
 fn is_at_risk(host: &Host, policy: &HostPolicy, now: Time) -> bool {
-    let is_held = || host.memberships.iter().any(TableMembership::may_be_held);
-    !policy.is_warm(host, now) && (policy.is_ready(host, now) || is_held())
+    host.eligibility.is_any() && policy.is_ready(host, now) && !policy.is_warm(host, now)
 }
--- a/crates/controller/src/transitions.rs
+++ b/crates/controller/src/transitions.rs
@@ -13,8 +13,11 @@
 pub enum HostPhase {
     /// It gets its full weight.
     Serving,
-    /// It started recently and has only a fraction of its capacity (slow start).
+    /// It started recently and has only a fraction of its capacity (slow start). It serves because the warm hosts are too
+    /// few.
     WarmingUp,
+    /// It started recently and is in no table until it is warm.
+    Waiting,
     /// It has returned from an ejection with a reduced weight.
     OnProbation,
     /// It is excluded from the tables as an outlier.
@@ -98,7 +101,9 @@
         HostPhase::OnProbation
     } else if policy.is_warm(host, now) {
         HostPhase::Serving
-    } else {
+    } else if host.eligibility.is_any() {
         HostPhase::WarmingUp
+    } else {
+        HostPhase::Waiting
     }
 }
--- a/crates/controller/tests/decisions/common.rs
+++ b/crates/controller/tests/decisions/common.rs
@@ -84,6 +84,8 @@
     pub max_messages: usize,
     /// The current endpoint list.
     pub listed: BTreeMap<HostId, Endpoint>,
+    /// The latest start of each host that any list has shown.
+    pub latest_start: BTreeMap<HostId, Time>,
     /// When the state or start time of each host last changed on the list.
     pub list_changed_at_us: BTreeMap<HostId, u64>,
     /// The weight of each host in each table.
@@ -121,6 +123,7 @@
             timer_at_us: None,
             max_messages,
             listed: BTreeMap::new(),
+            latest_start: BTreeMap::new(),
             list_changed_at_us: BTreeMap::new(),
             lines: BTreeMap::new(),
             admission: BTreeMap::new(),
@@ -155,6 +158,10 @@
                 .iter()
                 .map(|entry| (entry.host.clone(), entry.clone())),
         );
+        for entry in &entries {
+            let latest = self.latest_start.entry(entry.host.clone()).or_default();
+            *latest = (*latest).max(entry.started);
+        }
         let state = |list: &BTreeMap<HostId, Endpoint>, id: &HostId| {
             list.get(id)
                 .map(|endpoint| (endpoint.state, endpoint.started))
@@ -387,6 +394,12 @@
     fleet
 }
 
+/// Restarts all hosts of the small fleet, so that cold ones must be in tables.
+pub(crate) fn restart_all_hosts(fleet: &mut SimulatedFleet) {
+    let restarted = (0..12).map(|n| endpoint(n, EndpointState::Ready, fleet.time()));
+    fleet.apply_list(false, restarted.collect());
+}
+
 /// Reports that all hosts of the small fleet serve all requests.
 pub(crate) fn report_all_healthy(fleet: &mut SimulatedFleet) {
     report_all_except(fleet, &[]);
--- a/crates/controller/tests/decisions/main.rs
+++ b/crates/controller/tests/decisions/main.rs
@@ -21,3 +21,4 @@
 mod update_results;
 mod usual_load;
 mod warming_overload;
+mod warming_tables;
