Warming hosts always serve tables of their own, zones excepted

Cause: the two states differ by the capacity of all that warms up; a host at 0.9 of its capacity waited. Change: they serve tables of their own all the time, as many as they can take: at worst a host gets the requests of these tables, a few times its bound by weights. Only zones, which have a single table each, keep the rule by weight (zone_eligibility.rs).

--- a/crates/controller/src/admission_control.rs
+++ b/crates/controller/src/admission_control.rs
@@ -116,11 +116,6 @@
         self.startup_limit.fraction()
     }
 
-    /// Returns whether load is shed because of an overload.
-    pub(crate) fn is_shedding(&self) -> bool {
-        self.admitted_rate.is_some()
-    }
-
     /// Returns why the admitted fractions are as they are.
     pub(crate) fn cause(&self, now: Time) -> AdmissionCause {
         if self.admitted_rate.is_some() {
--- a/crates/controller/src/controller/decide.rs
+++ b/crates/controller/src/controller/decide.rs
@@ -14,10 +14,10 @@
 use crate::retries::RetryCause;
 use crate::statistics::EPSILON;
 use crate::table_admission::{TableAdmission, TableAdmissionView, table_admissions};
-use crate::table_eligibility::update_eligibility;
 use crate::time::{DurationExt, Time};
 use crate::warming_limit::WarmingLimit;
 use crate::weight_reduction::update_weight_reductions;
+use crate::zone_eligibility::update_zone_eligibility;
 use std::time::Duration;
 
 /// Time between two decision rounds; shorter than a report interval.
@@ -64,14 +64,7 @@
             return;
         }
         self.usual_load.observe(&self.hosts);
-        let has_zone_tables = self.layout.has_zone_tables();
-        update_eligibility(
-            &mut self.hosts,
-            &self.host_policy,
-            self.now,
-            has_zone_tables,
-            self.admission.is_shedding(),
-        );
+        update_zone_eligibility(&mut self.hosts, &self.host_policy, self.now);
         self.update_admission(AdmissionController::refresh_without_evidence, 0.0);
         let is_round_due = timer_fired || expedite;
         self.record_admission_change();
@@ -129,9 +122,9 @@
     fn update_placement(&mut self) {
         let traffic = self.traffic();
         self.detect_outliers();
+        self.place_hosts(&traffic);
         self.transitions
             .observe(&mut self.hosts, &self.host_policy, self.now);
-        self.place_hosts(&traffic);
     }
 
     /// Returns why proxies may retry attempts, or may not.
--- a/crates/controller/src/host.rs
+++ b/crates/controller/src/host.rs
@@ -6,7 +6,6 @@
 use crate::memberships::Memberships;
 use crate::outlier_detection::Ejection;
 use crate::statistics::stable_hash;
-use crate::table_eligibility::TableEligibility;
 use crate::time::Time;
 use crate::transitions::ObservedPhase;
 use crate::weight_reduction::WeightReduction;
@@ -31,8 +30,8 @@
     pub(crate) stats: AttemptStats,
     pub(crate) ejection: Ejection,
     pub(crate) weight_reduction: WeightReduction,
-    /// The tables that it may be in.
-    pub(crate) eligibility: TableEligibility,
+    /// Whether it may be in the table of its zone.
+    pub(crate) may_serve_zone: bool,
     pub(crate) memberships: Memberships,
     /// The phase and start time last observed for logging.
     pub(crate) observed_phase: Option<ObservedPhase>,
@@ -56,7 +55,7 @@
             stats: AttemptStats::default(),
             ejection: Ejection::default(),
             weight_reduction: WeightReduction::default(),
-            eligibility: TableEligibility::default(),
+            may_serve_zone: false,
             memberships: Memberships::default(),
             observed_phase: None,
         }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -39,7 +39,6 @@
 mod statistics;
 mod status;
 mod table_admission;
-mod table_eligibility;
 mod tables;
 mod time;
 mod transitions;
@@ -48,6 +47,7 @@
 mod warming_limit;
 mod warming_tables;
 mod weight_reduction;
+mod zone_eligibility;
 
 pub use admission_changes::{AdmissionCause, AdmissionChange};
 pub use config::{AdmissionMode, DeploymentConfig, RequestClass, RetryPolicy};
--- a/crates/controller/src/memberships.rs
+++ b/crates/controller/src/memberships.rs
@@ -117,6 +117,12 @@
         attempts.sum()
     }
 
+    /// Returns whether the host should be in any table.
+    pub(crate) fn has_target(&self) -> bool {
+        let mut targets = self.0.iter().map(TableMembership::target_weight);
+        targets.any(|weight| weight > 0.0)
+    }
+
     /// Returns whether the last update of this table included the host.
     pub(crate) fn is_sent_in(&self, table: usize) -> bool {
         self.0
--- a/crates/controller/src/placement.rs
+++ b/crates/controller/src/placement.rs
@@ -49,8 +49,6 @@
     warm_fraction: Vec<f64>,
     /// Whether each host is ready and not ejected.
     usable: Vec<bool>,
-    /// Whether each host is usable and may be in shared tables.
-    in_shared_tables: Vec<bool>,
     /// Whether each host is usable and may be in the table of its zone.
     in_zone_tables: Vec<bool>,
     /// Whether a usable host is warm.
@@ -69,7 +67,7 @@
         } else {
             MIN_WARM_ENOUGH_FRACTION
         };
-        self.in_shared_tables[host] && self.warm_fraction[host] >= min_fraction
+        self.usable[host] && self.warm_fraction[host] >= min_fraction
     }
 
     fn is_warm(&self, host: usize) -> bool {
@@ -162,13 +160,9 @@
                 .map(|host| policy.warm_fraction(host, now))
                 .collect(),
             usable: hosts.iter().map(is_usable).collect(),
-            in_shared_tables: hosts
-                .iter()
-                .map(|host| is_usable(host) && host.eligibility.shared)
-                .collect(),
             in_zone_tables: hosts
                 .iter()
-                .map(|host| is_usable(host) && host.eligibility.zone)
+                .map(|host| is_usable(host) && host.may_serve_zone)
                 .collect(),
             has_warm_host: hosts
                 .iter()
@@ -194,8 +188,7 @@
     fn target_weights(&self) -> Vec<TargetWeight> {
         let mut assignment = ShardAssignment::new(self.base_shards.len(), self.hosts.len());
         for (table, shard) in self.base_shards.iter().enumerate() {
-            let is_eligible = |member: &&ShardMember| self.fleet.in_shared_tables[member.host];
-            for member in shard.iter().filter(is_eligible) {
+            for member in shard.iter().filter(|member| self.fleet.usable[member.host]) {
                 assignment.assign(table, member.host);
             }
         }
@@ -254,7 +247,7 @@
     /// Adds warm hosts to a shard that has warming ones and too few warm ones for tables of their own, beyond the limits on
     /// shared hosts: otherwise all its hosts would serve the same tables.
     fn add_warm_hosts(&self, assignment: &mut ShardAssignment, table: usize) {
-        let is_warm = |host: usize| self.fleet.in_shared_tables[host] && self.fleet.is_warm(host);
+        let is_warm = |host: usize| self.fleet.usable[host] && self.fleet.is_warm(host);
         let members = assignment.shard(table).iter();
         let warm = members.filter(|member| is_warm(member.host)).count();
         let warming = assignment.shard(table).len() - warm;
@@ -271,20 +264,16 @@
         }
     }
 
-    /// If the limits leave a table empty, adds any usable host, if possible an eligible one, so that no proxy is without a
-    /// host.
+    /// If the limits leave a table empty, adds any usable host, so that no proxy is without a host.
     fn fill_empty_table(&self, assignment: &mut ShardAssignment, table: usize) {
         if !assignment.shard(table).is_empty() {
             return;
         }
         let rank = |host: usize, tables: usize| self.stand_in_rank(host, table, tables);
-        for candidates in [&self.fleet.in_shared_tables, &self.fleet.usable] {
-            let listed = self.fleet.listed.iter().copied();
-            let candidates = listed.filter(|&host| candidates[host]);
-            if let Some(host) = assignment.find_stand_in(table, candidates, usize::MAX, rank) {
-                assignment.assign(table, host);
-                return;
-            }
+        let listed = self.fleet.listed.iter().copied();
+        let usable = listed.filter(|&host| self.fleet.usable[host]);
+        if let Some(host) = assignment.find_stand_in(table, usable, usize::MAX, rank) {
+            assignment.assign(table, host);
         }
     }
 
--- a/crates/controller/src/retries.rs
+++ b/crates/controller/src/retries.rs
@@ -18,7 +18,7 @@
 pub enum RetryCause {
     /// They may.
     Allowed,
-    /// A host is warming up.
+    /// A host that warms up serves.
     WarmingHosts,
     /// The fleet is overloaded, or was and has not recovered.
     Overload,
@@ -88,5 +88,5 @@
 /// Returns whether a host is warming up and should be in tables. One that should be in none needs no such order: the
 /// message that tells of it takes it out of the tables.
 fn is_at_risk(host: &Host, policy: &HostPolicy, now: Time) -> bool {
-    host.eligibility.is_any() && policy.is_ready(host, now) && !policy.is_warm(host, now)
+    host.memberships.has_target() && policy.is_ready(host, now) && !policy.is_warm(host, now)
 }
--- a/crates/controller/src/table_admission.rs
+++ b/crates/controller/src/table_admission.rs
@@ -47,7 +47,7 @@
     fractions: Vec<f64>,
     /// Requests per second with which no warming host of the table gets more than it can take; `None` if it has none.
     warming_limit: Option<f64>,
-    /// Whether it has a warming host, or should have one.
+    /// Whether it should have a warming host.
     has_warming_hosts: bool,
     /// How its proxies retry attempts.
     retry_policy: RetryPolicy,
@@ -148,13 +148,13 @@
     tables
 }
 
-/// Returns the tables that have a warming host, or should have one; a table with several is returned several times.
+/// Returns the tables that should have a warming host; a table with several is returned several times.
 fn tables_with_warming_hosts(view: &TableAdmissionView<'_>) -> impl Iterator<Item = usize> {
     let is_warming = |host: &&Host| !view.policy.is_warm(host, view.now);
     let memberships = view.hosts.iter().filter(is_warming);
     let memberships = memberships.flat_map(|host| host.memberships.iter());
     memberships
-        .filter(|membership| membership.may_be_held() || membership.target_weight() > 0.0)
+        .filter(|membership| membership.target_weight() > 0.0)
         .map(TableMembership::table)
 }
 
--- a/crates/controller/src/transitions.rs
+++ b/crates/controller/src/transitions.rs
@@ -13,10 +13,9 @@
 pub enum HostPhase {
     /// It gets its full weight.
     Serving,
-    /// It started recently and has only a fraction of its capacity (slow start). It serves because the warm hosts are too
-    /// few.
+    /// It started recently and has only a fraction of its capacity (slow start).
     WarmingUp,
-    /// It started recently and is in no table until it is warm.
+    /// It started recently and is in no table yet.
     Waiting,
     /// It has returned from an ejection with a reduced weight.
     OnProbation,
@@ -101,7 +100,7 @@
         HostPhase::OnProbation
     } else if policy.is_warm(host, now) {
         HostPhase::Serving
-    } else if host.eligibility.is_any() {
+    } else if host.memberships.has_target() {
         HostPhase::WarmingUp
     } else {
         HostPhase::Waiting
--- a/crates/controller/src/warming_tables.rs
+++ b/crates/controller/src/warming_tables.rs
@@ -1,4 +1,4 @@
-//! Tables of warming hosts: which tables of a shard its warming hosts serve while the warm hosts of the fleet are too few.
+//! Tables of warming hosts: which tables of a shard its warming hosts serve.
 //!
 //! Warm and warming hosts never serve the same table. When the warm hosts are overloaded, the proxies that avoid them have
 //! no warming host to turn to.
