Revert "Shards complete the kind of hosts that they have too few of"

Cause: more proxies use tables of warming hosts then, so that a proxy that becomes busy is more often one of them; reports show it 2 to 6 s later.

--- a/crates/controller/src/placement.rs
+++ b/crates/controller/src/placement.rs
@@ -239,41 +239,26 @@
                 let Some(host) = found else { break };
                 assignment.assign(table, host);
             }
-            self.complete_kinds(assignment, table);
+            self.add_warm_hosts(assignment, table);
             self.fill_empty_table(assignment, table);
         }
     }
 
-    /// Adds warm or warming hosts to a shard that has both kinds, and too few of one for tables of its own. Warm ones are
-    /// added beyond the limits on shared hosts: otherwise all hosts of the shard would serve the same tables.
-    fn complete_kinds(&self, assignment: &mut ShardAssignment, table: usize) {
-        let is_usable = |host: usize| self.fleet.usable[host];
-        let is_warm = |host: usize| is_usable(host) && self.fleet.is_warm(host);
-        let is_warming = |host: usize| is_usable(host) && !self.fleet.is_warm(host);
-        let members = || assignment.shard(table).iter().map(|member| member.host);
-        let warm = members().filter(|&host| is_warm(host)).count();
-        let warming = members().filter(|&host| is_warming(host)).count();
+    /// Adds warm hosts to a shard that has warming ones and too few warm ones for tables of their own, beyond the limits on
+    /// shared hosts: otherwise all its hosts would serve the same tables.
+    fn add_warm_hosts(&self, assignment: &mut ShardAssignment, table: usize) {
+        let is_warm = |host: usize| self.fleet.usable[host] && self.fleet.is_warm(host);
+        let members = assignment.shard(table).iter();
+        let warm = members.filter(|member| is_warm(member.host)).count();
+        let warming = assignment.shard(table).len() - warm;
         if warming == 0 {
             return;
         }
-        self.add_up_to_minimum(assignment, table, warm, usize::MAX, is_warm);
-        self.add_up_to_minimum(assignment, table, warming, MAX_SHARED_HOSTS, is_warming);
-    }
-
-    /// Adds hosts to a shard until it has the minimum number of this kind for tables of their own.
-    fn add_up_to_minimum(
-        &self,
-        assignment: &mut ShardAssignment,
-        table: usize,
-        count: usize,
-        max_shared: usize,
-        is_of_kind: impl Fn(usize) -> bool,
-    ) {
         let rank = |host: usize, tables: usize| self.stand_in_rank(host, table, tables);
-        for _ in count..MIN_SEPARATE_HOSTS {
+        for _ in warm..MIN_SEPARATE_HOSTS {
             let candidates = self.fleet.listed.iter().copied();
-            let candidates = candidates.filter(|&host| is_of_kind(host));
-            let found = assignment.find_stand_in(table, candidates, max_shared, rank);
+            let candidates = candidates.filter(|&host| is_warm(host));
+            let found = assignment.find_stand_in(table, candidates, usize::MAX, rank);
             let Some(host) = found else { break };
             assignment.assign(table, host);
         }
