--- a/crates/controller/src/placement.rs
+++ b/crates/controller/src/placement.rs
@@ -321,6 +321,7 @@
     /// Returns the target weights of the shared tables. The warm and the warming hosts of a shard serve different tables,
     /// unless there are too few warm ones for a table.
     fn shared_targets(&self, assignment: &ShardAssignment) -> Vec<TargetWeight> {
+        let has_warming_hosts = self.tables_with_warming_hosts();
         let mut targets = Vec::new();
         for (shard_index, shard) in assignment.shards().iter().enumerate() {
             let is_warm = |member: &ShardMember| self.fleet.is_warm(member.host);
@@ -329,7 +330,7 @@
             if warm.len() < MIN_SEPARATE_HOSTS {
                 warm.append(&mut warming);
             }
-            let tables = self.tables_of_shard(shard_index);
+            let tables = self.tables_of_shard(shard_index, &has_warming_hosts);
             let of_warming = if warming.len() < MIN_SEPARATE_HOSTS {
                 Vec::new()
             } else {
@@ -345,19 +346,27 @@
         targets
     }
 
+    /// Returns for each table whether its proxies were sent warming hosts.
+    fn tables_with_warming_hosts(&self) -> Vec<bool> {
+        let mut has_warming_hosts = vec![false; self.view.layout.len()];
+        let hosts = self.hosts.iter().enumerate();
+        for (_, host) in hosts.filter(|(index, _)| !self.fleet.is_warm(*index)) {
+            let held = host.memberships.iter();
+            for membership in held.filter(|membership| membership.sent_weight() > 0.0) {
+                has_warming_hosts[membership.table()] = true;
+            }
+        }
+        has_warming_hosts
+    }
+
     /// Returns the shared tables that use a shard.
-    fn tables_of_shard(&self, shard: usize) -> Vec<ShardTable> {
+    fn tables_of_shard(&self, shard: usize, has_warming_hosts: &[bool]) -> Vec<ShardTable> {
         let tables = (shard..self.view.layout.shared_tables()).step_by(self.base_shards.len());
-        let has_warming_hosts = |table: usize| {
-            let warming = self.hosts.iter().enumerate();
-            let mut warming = warming.filter(|(index, _)| !self.fleet.is_warm(*index));
-            warming.any(|(_, host)| host.memberships.is_sent_in(table))
-        };
         tables
             .map(|table| ShardTable {
                 table,
                 rate: self.view.usage[table] * self.view.attempts_per_arrival,
-                has_warming_hosts: has_warming_hosts(table),
+                has_warming_hosts: has_warming_hosts[table],
             })
             .collect()
     }
