Retries stop while any host warms up, one that waits for a table too

Cause: let a host that waits for a table stop no retries. In a release others mostly wait, and retries were allowed when a host in use restarted; they went to it until the message that takes it out had arrived.

--- a/crates/controller/src/retries.rs
+++ b/crates/controller/src/retries.rs
@@ -7,6 +7,7 @@
 use crate::event_buffer::EventBuffer;
 use crate::host::{Host, HostRegistry};
 use crate::host_policy::HostPolicy;
+use crate::memberships::TableMembership;
 use crate::time::Time;
 
 /// Overload above which retries stop, and below which they resume: they would bring it back.
@@ -18,7 +19,7 @@
 pub enum RetryCause {
     /// They may.
     Allowed,
-    /// A host that warms up serves.
+    /// A host is warming up.
     WarmingHosts,
     /// The fleet is overloaded, or was and has not recovered.
     Overload,
@@ -85,8 +86,9 @@
     }
 }
 
-/// Returns whether a host is warming up and should be in tables. One that should be in none needs no such order: the
-/// message that tells of it takes it out of the tables.
+/// Returns whether a host is warming up and may be sent requests, now or by lines that proxies may still have. One that
+/// waits for a table counts too: retries must be stopped before the next one restarts in use.
 fn is_at_risk(host: &Host, policy: &HostPolicy, now: Time) -> bool {
-    host.memberships.has_target() && policy.is_ready(host, now) && !policy.is_warm(host, now)
+    let is_held = || host.memberships.iter().any(TableMembership::may_be_held);
+    !policy.is_warm(host, now) && (policy.is_ready(host, now) || is_held())
 }
