--- a/crates/controller/tests/decisions/retries.rs
+++ b/crates/controller/tests/decisions/retries.rs
@@ -1,9 +1,10 @@
 //! Retries bring what one host turns away to another. A host that warms up has room for them until it falls over.
 
 use crate::common::{
-    SimulatedFleet, deployment_config, host, report_all_healthy, restart_all_hosts, small_fleet,
+    SimulatedFleet, deployment_config, endpoint, host, report_all_healthy, restart_all_hosts,
+    small_fleet,
 };
-use pondarch_controller::{DeploymentConfig, RetryPolicy, TableId};
+use pondarch_controller::{DeploymentConfig, EndpointState, RetryPolicy, TableId};
 use std::collections::BTreeSet;
 
 /// Returns the retry policies of the classes of a table.
@@ -82,7 +83,7 @@
     let policies_at_start = |is_any_warming: bool| {
         let mut fleet = SimulatedFleet::new(deployment_config(8), 12);
         if is_any_warming {
-            restart_all_hosts(&mut fleet);
+            fleet.apply_list(false, vec![endpoint(2, EndpointState::Ready, fleet.time())]);
         }
         (0..8).for_each(|n| fleet.join(n, true, 6.0));
         fleet.run(1_000, |_| {});
